--- /dev/null
+++ b/src/coordination/request/journal.cpp
@@ -0,0 +1,323 @@
+// See journal.h for the algorithm.
+#include "coordination/request/journal.h"
+
+namespace camphorwell {
+
+namespace {
+
+    using nlohmann::json;
+
+    constexpr int64_t appendTimeoutMs = 3000; // After this the append is settled by reading back.
+    constexpr int64_t readTimeoutMs = 3000;
+    constexpr int64_t appendRetryMs = 250; // Pause after a refused append.
+
+    json toRecordJson(const work_record& record)
+    {
+        json out = { { "r", record.recordId }, { "t", toString(record.kind) }, { "id", record.work.id },
+            { "a", record.work.attempt } };
+        bool opening = record.kind == record_kind::accept || record.kind == record_kind::intent;
+        if (opening) {
+            const auto& w = record.work;
+            out["e"] = w.entry;
+            out["o"] = w.owner;
+            out["b"] = w.body;
+            out["h"] = record.bodyHash;
+            out["dl"] = w.deadlineMs;
+            out["f"] = (w.batch ? 1 : 0) | (w.idempotent ? 2 : 0) | (w.urgent ? 4 : 0);
+            out["n"] = { w.need.cpuMilli, w.need.memoryMb, w.need.accelerators, w.need.slots };
+        }
+        if (!record.work.checkpoint.empty())
+            out["ck"] = record.work.checkpoint;
+        if (!record.result.empty())
+            out["res"] = record.result;
+        if (!record.worker.empty())
+            out["w"] = record.worker;
+        return out;
+    }
+
+    std::optional<record_kind> kindFrom(const std::string& name)
+    {
+        for (auto kind : { record_kind::accept, record_kind::intent, record_kind::evict, record_kind::done,
+                 record_kind::failed, record_kind::unknown, record_kind::cancelled }) {
+            if (toString(kind) == name)
+                return kind;
+        }
+        return std::nullopt;
+    }
+
+    std::optional<work_record> recordFrom(const std::string& data)
+    {
+        json source = json::parse(data, nullptr, false);
+        if (!source.is_object())
+            return std::nullopt;
+        try {
+            work_record out;
+            auto kind = kindFrom(source.at("t").get<std::string>());
+            if (!kind)
+                return std::nullopt;
+            out.kind = *kind;
+            out.recordId = source.at("r").get<std::string>();
+            out.work.id = source.at("id").get<std::string>();
+            out.work.attempt = source.at("a").get<uint64_t>();
+            out.work.entry = source.value("e", std::string());
+            out.work.owner = source.value("o", std::string());
+            out.work.body = source.value("b", std::string());
+            out.bodyHash = source.value("h", std::string());
+            out.work.deadlineMs = source.value("dl", int64_t { 0 });
+            int flags = source.value("f", 2);
+            out.work.batch = flags & 1;
+            out.work.idempotent = flags & 2;
+            out.work.urgent = flags & 4;
+            if (source.contains("n")) {
+                const auto& n = source.at("n");
+                out.work.need = { n.at(0), n.at(1), n.at(2), n.at(3) };
+            }
+            out.work.checkpoint = source.value("ck", std::string());
+            out.result = source.value("res", std::string());
+            out.worker = source.value("w", std::string());
+            return out;
+        } catch (const json::exception&) {
+            return std::nullopt;
+        }
+    }
+
+    bool isOpening(record_kind kind) { return kind == record_kind::accept || kind == record_kind::intent; }
+
+} // namespace
+
+std::string_view toString(record_kind kind)
+{
+    switch (kind) {
+    case record_kind::accept:
+        return "accept";
+    case record_kind::intent:
+        return "intent";
+    case record_kind::evict:
+        return "evict";
+    case record_kind::done:
+        return "done";
+    case record_kind::failed:
+        return "failed";
+    case record_kind::unknown:
+        return "unknown";
+    case record_kind::cancelled:
+        return "cancelled";
+    }
+    return "";
+}
+
+journal::journal(context& shared)
+    : m_context(shared)
+    , m_stream("work-" + shared.options.dataCentre)
+{
+}
+
+std::string journal::add(work_record record)
+{
+    const auto& self = m_context.options.self;
+    record.recordId
+        = self.id + "." + std::to_string(self.incarnation) + "." + std::to_string(++m_recordCount);
+    std::string id = record.recordId;
+    m_queue.push_back(std::move(record));
+    appendNext();
+    return id;
+}
+
+void journal::appendNext()
+{
+    bool busy = m_appendCall != 0 || m_settling;
+    if (busy || m_context.now < m_nextAppend || (m_queue.empty() && m_inFlight.empty()))
+        return;
+    while (!m_queue.empty() && m_inFlight.size() < m_context.options.appendBatch) {
+        m_inFlight.push_back(std::move(m_queue.front()));
+        m_queue.pop_front();
+    }
+    append_action out;
+    out.call = m_appendCall = m_context.nextCall++;
+    out.stream = m_stream;
+    for (const auto& record : m_inFlight)
+        out.records.push_back(toRecordJson(record).dump());
+    m_appendSince = m_context.now;
+    m_appends++;
+    m_context.out.push_back(std::move(out));
+}
+
+bool journal::onAppended(const append_reply& reply)
+{
+    if (reply.call != m_appendCall || m_appendCall == 0)
+        return false;
+    m_appendCall = 0;
+    switch (reply.status) {
+    case append_status::durable:
+        m_available = true;
+        for (const auto& record : m_inFlight)
+            m_settled.emplace_back(record.recordId, true);
+        m_inFlight.clear();
+        appendNext();
+        break;
+    case append_status::refused: {
+        m_available = false;
+        m_context.count(reason::retry_append);
+        m_nextAppend = m_context.now + m_context.jitter(appendRetryMs);
+        // What opens work is given up, since nothing has started; what ends work must be kept.
+        std::vector<work_record> keep;
+        auto sort = [&](work_record& record) {
+            if (mayGiveUp(record))
+                m_settled.emplace_back(record.recordId, false);
+            else
+                keep.push_back(std::move(record));
+        };
+        for (auto& record : m_inFlight)
+            sort(record);
+        for (auto& record : m_queue)
+            sort(record);
+        m_inFlight.clear();
+        m_queue.assign(std::make_move_iterator(keep.begin()), std::make_move_iterator(keep.end()));
+        break;
+    }
+    case append_status::unknown:
+        m_available = false;
+        m_context.count(reason::retry_append);
+        m_settling = true;
+        m_seenInFlight.clear();
+        m_nextRead = m_context.now;
+        break;
+    }
+    return true;
+}
+
+// A record once sent in an append that was not clearly refused may still appear in the log.
+bool journal::mayGiveUp(const work_record& record) const
+{
+    return isOpening(record.kind) && !m_seenInFlight.count("sent " + record.recordId);
+}
+
+void journal::requestRecovery()
+{
+    m_recovered = false;
+    m_recoveryWanted = true;
+    m_nextRead = m_context.now;
+}
+
+void journal::startRead()
+{
+    m_readCall = m_context.nextCall++;
+    m_readSince = m_context.now;
+    m_context.out.push_back(read_action { m_readCall, m_stream, m_cursor });
+}
+
+void journal::onTick()
+{
+    if (m_appendCall != 0 && m_context.now - m_appendSince > milliseconds(appendTimeoutMs))
+        onAppended({ m_appendCall, append_status::unknown });
+    appendNext();
+    if (m_readCall != 0 && m_context.now - m_readSince > milliseconds(readTimeoutMs))
+        m_readCall = 0;
+    if (m_readCall == 0 && m_context.now >= m_nextRead) {
+        m_readCounts = m_recoveryWanted;
+        m_settleRead = m_settling;
+        m_nextRead = m_context.now + m_context.jitter(m_context.options.logPollMs);
+        startRead();
+    }
+    instant keep = milliseconds(m_context.options.resultKeepMs);
+    while (!m_ended.empty() && m_context.now - m_ended.front().first > keep) {
+        m_states.erase(m_ended.front().second);
+        m_ended.pop_front();
+    }
+}
+
+bool journal::onRead(const read_reply& reply)
+{
+    if (reply.call != m_readCall || m_readCall == 0)
+        return false;
+    m_readCall = 0;
+    if (!reply.ok) {
+        m_available = false;
+        return true;
+    }
+    for (const auto& entry : reply.records)
+        fold(entry.data);
+    m_cursor = std::max(m_cursor, reply.next);
+    if (!reply.atEnd) {
+        startRead();
+        return true;
+    }
+    if (m_readCounts && m_recoveryWanted) {
+        m_recoveryWanted = false;
+        m_recovered = true;
+    }
+    if (m_settling && m_settleRead)
+        finishSettling();
+    return true;
+}
+
+void journal::finishSettling()
+{
+    m_settling = false;
+    m_available = true;
+    std::vector<work_record> missing;
+    for (auto& record : m_inFlight) {
+        if (m_seenInFlight.count(record.recordId))
+            m_settled.emplace_back(record.recordId, true);
+        else
+            missing.push_back(std::move(record));
+    }
+    m_seenInFlight.clear();
+    // The lost append may still arrive, so these can never be given up; the fold ignores the repetition.
+    for (const auto& record : missing)
+        m_seenInFlight.insert("sent " + record.recordId);
+    m_inFlight = std::move(missing);
+    appendNext();
+}
+
+void journal::fold(const std::string& data)
+{
+    auto record = recordFrom(data);
+    if (!record)
+        return;
+    if (m_settling) {
+        for (const auto& mine : m_inFlight) {
+            if (mine.recordId == record->recordId)
+                m_seenInFlight.insert(record->recordId);
+        }
+    }
+    auto& state = m_states[record->work.id];
+    state.readAt = m_context.now;
+    state.attempt = std::max(state.attempt, record->work.attempt);
+    if (isOpening(record->kind)) {
+        if (state.first.work.id.empty())
+            state.first = *record;
+        if (!record->work.checkpoint.empty())
+            state.checkpoint = record->work.checkpoint;
+    } else if (record->kind == record_kind::evict) {
+        state.checkpoint = record->work.checkpoint;
+    } else if (!state.end || state.end->kind == record_kind::unknown) {
+        // An outcome that was learnt later replaces "unknown".
+        state.end = *record;
+        state.first.work.body.clear(); // The hash is enough to recognise a retry.
+        m_ended.emplace_back(m_context.now, record->work.id);
+    }
+    m_changed.push_back(record->work.id);
+}
+
+std::vector<std::pair<std::string, bool>> journal::takeSettled()
+{
+    auto out = std::move(m_settled);
+    m_settled.clear();
+    return out;
+}
+
+std::vector<work_id> journal::takeChanged()
+{
+    auto out = std::move(m_changed);
+    m_changed.clear();
+    return out;
+}
+
+const durable_state* journal::find(const work_id& id) const
+{
+    auto found = m_states.find(id);
+    return found == m_states.end() ? nullptr : &found->second;
+}
+
+} // namespace camphorwell
--- /dev/null
+++ b/src/coordination/request/ledger.h
@@ -0,0 +1,158 @@
+// The owner's side: every piece of work this instance decides about, from the request to the answer.
+//
+// A piece of work is recording (its opening record is on its way to the log), queued, placed with a holder,
+// or finished. It goes back from placed to queued only on a definite word: the holder refused the start, the
+// attempt ended without a result, or every worker was taken under a view without its former holder and none
+// listed the attempt. Non-idempotent work never goes back once a start may have happened.
+#pragma once
+
+#include "coordination/process/holder.h"
+#include "coordination/request/journal.h"
+
+namespace camphorwell {
+
+answer refusedAnswer(const work_id&, reason, const std::string& detail);
+
+class ledger {
+public:
+    // Receives the answer to a ticket that `onRequest` was given.
+    using deliver = std::function<void(uint64_t ticket, const answer&)>;
+
+    ledger(context&, membership&, holder&, journal&, const catalogue&, deliver);
+
+    void onRequest(uint64_t ticket, const request&);
+    void forget(uint64_t ticket); // The caller is gone.
+    void onTick();
+    void onNewView();
+    // Starts what can start. Called after every event.
+    void dispatch();
+    void onTaken(const instance_id& from, const worker_taken&);
+    void onUpdate(const instance_id& from, const task_update&);
+    void onRefused(const instance_id& from, const start_refused&);
+    void onHeartbeat(const instance_id& from, const heartbeat&);
+    void onJournal();
+    // True when this instance may decide about `id` now.
+    bool active(const work_id& id) const;
+    // Called before every event, after the leases were checked.
+    void checkTenure();
+
+    size_t queuedCount() const { return m_queue.size(); }
+    size_t placedCount() const { return m_placedCount; }
+    size_t keptCount() const { return m_kept.size(); }
+    bool idle() const;
+    explanation explain(const work_id&) const;
+    void checkInvariants() const;
+
+private:
+    struct recording {
+        std::string recordId;
+    };
+    struct queued {
+        instant notBefore { 0 };
+        reason last = reason::no_room; // Why it waits.
+    };
+    struct placed {
+        member holder;
+        bool acknowledged = false; // The holder has said that it runs.
+        instant nextSend { 0 };
+        worker_id worker;
+        bool doubted = false; // The holder left the view; settled when the view is closed.
+    };
+    using phase_type = std::variant<recording, queued, placed>;
+
+    struct item {
+        camphorwell::work work;
+        std::string bodyHash;
+        phase_type phase;
+        bool known = true; // False when only a holder's report says that it exists.
+        bool journaled = false;
+        bool durable = false; // The opening record is in the log.
+        bool everStarted = false; // Some attempt may have run.
+        bool cancelling = false;
+        bool expired = false; // The deadline has passed and the callers were told.
+        uint32_t failures = 0;
+        instant created { 0 };
+        instant deadline { 0 };
+        instant recordedAt { 0 };
+        std::vector<std::pair<uint64_t, bool>> waiters; // Ticket, and whether `accepted` suffices.
+        std::vector<std::string> history; // For explain; bounded.
+    };
+
+    struct kept_answer {
+        camphorwell::answer answer;
+        std::string bodyHash;
+        std::string recordId; // Not empty while the outcome is on its way to the log.
+        uint64_t attempt = 0;
+        instant at { 0 };
+    };
+    struct queue_key {
+        int rank = 0; // Urgent work first.
+        instant deadline { 0 };
+        work_id id;
+        auto operator<=>(const queue_key&) const = default;
+    };
+    struct room_hint {
+        resources room;
+        int64_t slots = 0;
+    };
+
+    std::optional<refusal> admit(const request&, const entry&) const;
+    void submit(uint64_t ticket, const request&);
+    void poll(uint64_t ticket, const request&);
+    void cancel(uint64_t ticket, const request&);
+    bool answerKept(uint64_t ticket, const work_id&, const std::string& bodyHash, bool checkHash);
+    void open(uint64_t ticket, const request&, const entry&);
+    void join(uint64_t ticket, const request&, item&);
+    void refuse(uint64_t ticket, const work_id&, reason, const std::string& detail);
+    bool needsRecovery(const work_id&) const;
+    void setPhase(item&, phase_type);
+    void enqueue(item&, instant notBefore, reason why);
+    queue_key keyOf(const item&) const;
+    void place(item&, const member& target);
+    std::optional<member> chooseHolder(const item&);
+    void finish(item&, const answer&, record_kind);
+    void answerWaiters(item&, const answer&);
+    void acceptWaiters(item&);
+    void expire(item&);
+    void resolveDoubts();
+    void resolveDoubt(item&);
+    void absorb(const instance_id& from, const view_id& id, const task_report&);
+    void onEnded(item&, const task_report&);
+    void retry(item&, reason why, instant pause);
+    void adoptUnknown(const instance_id& from, const task_report&);
+    void keepUpdate(const instance_id& to, const task_report&);
+    void createFromReport(const task_report&, bool journaled);
+    item& createFromLog(const work_id&, const durable_state&);
+    void keepFromLog(const work_id&, const durable_state&);
+    void completeFromLog(item&, const durable_state&);
+    void recover(const work_id&);
+    void recoverAll();
+    void note(item&, const std::string& text);
+    int64_t countEntry(const entry_name&) const;
+    int64_t shareOf(int64_t limit) const;
+    void eraseItem(const work_id&);
+    void trimKept();
+    void keepYoung(item&);
+
+    context& m_context;
+    membership& m_members;
+    holder& m_holder;
+    journal& m_journal;
+    const catalogue& m_catalogue;
+    deliver m_deliver;
+    std::map<work_id, item> m_items;
+    std::map<work_id, kept_answer> m_kept;
+    std::deque<std::pair<instant, work_id>> m_keptOrder;
+    std::map<std::string, work_id> m_records; // Opening or closing records on their way to the log.
+    std::map<std::string, std::pair<instance_id, task_report>> m_keepAfter; // Updates kept when durable.
+    std::set<queue_key> m_queue;
+    std::map<entry_name, int64_t> m_entryCounts;
+    std::map<uint64_t, work_id> m_ticketWork;
+    std::map<instance_id, room_hint> m_hints;
+    std::vector<bool> m_tenured;
+    bool m_wasClosed = false;
+    bool m_scanned = false; // The log was compared with the items under this view.
+    size_t m_placedCount = 0;
+};
+
+} // namespace camphorwell
--- /dev/null
+++ b/src/coordination/request/ledger_outcomes.cpp
@@ -0,0 +1,538 @@
+// Placement, outcomes, and recovery of the owner's work. See ledger.h for the algorithm.
+#include "coordination/request/ledger.h"
+
+#include <algorithm>
+
+namespace camphorwell {
+
+namespace {
+
+    constexpr int64_t noRoomPauseMs = 20;
+    constexpr int64_t retryPauseMs = 50;
+    constexpr uint32_t maxFailures = 3; // Failed attempts of idempotent work before the caller is told.
+    constexpr size_t scanLength = 32; // Queued items looked at in one dispatch.
+    constexpr unsigned attemptShift = 10; // An attempt is the view number above a count.
+
+} // namespace
+
+// ---- Placement -------------------------------------------------------------------------------------------
+
+ledger::queue_key ledger::keyOf(const item& it) const
+{
+    return { it.work.urgent ? 0 : it.work.batch ? 2 : 1, it.deadline, it.work.id };
+}
+
+void ledger::setPhase(item& it, phase_type next)
+{
+    if (std::holds_alternative<queued>(it.phase))
+        m_queue.erase(keyOf(it));
+    if (std::holds_alternative<placed>(it.phase))
+        m_placedCount--;
+    it.phase = std::move(next);
+    if (std::holds_alternative<queued>(it.phase))
+        m_queue.insert(keyOf(it));
+    if (std::holds_alternative<placed>(it.phase))
+        m_placedCount++;
+}
+
+void ledger::enqueue(item& it, instant notBefore, reason why) { setPhase(it, queued { notBefore, why }); }
+
+void ledger::onHeartbeat(const instance_id& from, const heartbeat& beat)
+{
+    m_hints[from] = { beat.room, beat.freeSlots };
+}
+
+std::optional<member> ledger::chooseHolder(const item& it)
+{
+    const auto& self = m_context.options.self;
+    if (it.work.need.fits(m_holder.largestRoom()))
+        return self;
+    const member* best = nullptr;
+    for (const auto& m : m_members.promised().members) {
+        if (m.id == self.id || !m_members.isAlive(m.id))
+            continue;
+        auto hint = m_hints.find(m.id);
+        if (hint == m_hints.end() || hint->second.slots <= 0 || !it.work.need.fits(hint->second.room))
+            continue;
+        if (!best || hint->second.slots > m_hints[best->id].slots)
+            best = &m;
+    }
+    if (best)
+        return *best;
+    if (!it.work.urgent)
+        return std::nullopt;
+    // Nobody has room; ask a holder, which may make some.
+    const auto& members = m_members.promised().members;
+    std::uniform_int_distribution<size_t> pick(0, members.size() - 1);
+    const member& chosen = members[pick(m_context.random)];
+    return m_members.isAlive(chosen.id) ? std::optional<member>(chosen) : std::nullopt;
+}
+
+void ledger::dispatch()
+{
+    std::vector<work_id> candidates;
+    for (const auto& key : m_queue) {
+        if (candidates.size() >= scanLength)
+            break;
+        const item& it = m_items.at(key.id);
+        if (std::get<queued>(it.phase).notBefore <= m_context.now && active(key.id))
+            candidates.push_back(key.id);
+    }
+    for (const auto& id : candidates) {
+        auto found = m_items.find(id);
+        if (found == m_items.end() || !std::holds_alternative<queued>(found->second.phase))
+            continue;
+        item& it = found->second;
+        auto target = chooseHolder(it);
+        if (!target) {
+            std::get<queued>(it.phase).notBefore = m_context.now + milliseconds(noRoomPauseMs);
+            m_context.count(reason::no_room);
+            continue;
+        }
+        place(it, *target);
+    }
+}
+
+void ledger::place(item& it, const member& target)
+{
+    uint64_t base = m_members.promised().id.number << attemptShift;
+    it.work.attempt = std::max(it.work.attempt, base) + 1;
+    it.work.deadlineMs = std::max<int64_t>((it.deadline - m_context.now).count() / 1000, 1);
+    placed at;
+    at.holder = target;
+    at.nextSend = m_context.now + milliseconds(m_context.options.resendMs);
+    setPhase(it, at);
+    note(it, "start sent to " + target.id);
+    if (target.id != m_context.options.self.id)
+        m_hints[target.id].slots--;
+    m_context.send(target.id, start_work { m_members.promised().id, it.work });
+}
+
+void ledger::onRefused(const instance_id& from, const start_refused& refused)
+{
+    auto found = m_items.find(refused.id);
+    if (found == m_items.end() || found->second.work.attempt != refused.attempt)
+        return;
+    item& it = found->second;
+    auto* at = std::get_if<placed>(&it.phase);
+    if (!at || at->holder.id != from)
+        return;
+    m_context.count(refused.why);
+    note(it, "refused by " + from + ": " + std::string(describe(refused.why).name));
+    if (refused.why == reason::no_room && from != m_context.options.self.id)
+        m_hints[from].slots = 0;
+    if (it.cancelling) {
+        finish(it, refusedAnswer(refused.id, reason::cancelled, "cancelled by a request"),
+            record_kind::cancelled);
+        return;
+    }
+    enqueue(it, m_context.now + m_context.jitter(noRoomPauseMs), refused.why);
+    if (it.expired)
+        expire(it);
+}
+
+// ---- Outcomes --------------------------------------------------------------------------------------------
+
+void ledger::keepUpdate(const instance_id& to, const task_report& report)
+{
+    m_context.send(to, task_update_kept { report.id, report.attempt });
+}
+
+void ledger::onUpdate(const instance_id& from, const task_update& update)
+{
+    absorb(from, update.id, update.report);
+}
+
+void ledger::onTaken(const instance_id& from, const worker_taken& taken)
+{
+    for (const auto& report : taken.tasks)
+        absorb(from, taken.id, report);
+}
+
+void ledger::absorb(const instance_id& from, const view_id& id, const task_report& report)
+{
+    if (!m_members.inView() || m_members.promised().ownerOfWork(report.id) != m_context.options.self.id)
+        return;
+    auto kept = m_kept.find(report.id);
+    if (kept != m_kept.end()) {
+        bool waits = !kept->second.recordId.empty() && kept->second.attempt == report.attempt;
+        if (report.state != task_state::running && !waits)
+            keepUpdate(from, report);
+        // A task that runs on after its work has ended is of no use to anybody.
+        if (report.state == task_state::running)
+            m_context.send(from, stop_work { report.id, report.attempt });
+        return;
+    }
+    auto found = m_items.find(report.id);
+    if (found == m_items.end()) {
+        adoptUnknown(from, report);
+        return;
+    }
+    item& it = found->second;
+    if (report.attempt < it.work.attempt) {
+        if (report.state != task_state::running)
+            keepUpdate(from, report);
+        return;
+    }
+    it.work.attempt = report.attempt;
+    it.everStarted = true;
+    if (report.state == task_state::running) {
+        placed at;
+        at.holder = { from, 0, false };
+        if (const member* m = m_members.promised().find(from))
+            at.holder = *m;
+        at.acknowledged = true;
+        at.worker = report.worker;
+        at.nextSend = m_context.now + milliseconds(m_context.options.resendMs);
+        setPhase(it, at);
+        return;
+    }
+    // "Lost" is only believed of the holder that this view knows for the task.
+    if (report.state == task_state::lost) {
+        const auto* at = std::get_if<placed>(&it.phase);
+        if (id != m_members.promised().id || !at || at->holder.id != from)
+            return;
+    }
+    bool durableFirst = it.journaled && report.state != task_state::never_started;
+    onEnded(it, report);
+    auto after = m_kept.find(report.id);
+    bool waits = after != m_kept.end() && !after->second.recordId.empty();
+    if (durableFirst && waits)
+        m_keepAfter[after->second.recordId] = { from, report };
+    else
+        keepUpdate(from, report);
+}
+
+// Work that a holder reports and this instance, its owner now, has not heard of.
+void ledger::adoptUnknown(const instance_id& from, const task_report& report)
+{
+    bool journaled = report.batch || !report.idempotent;
+    const durable_state* state = journaled ? m_journal.find(report.id) : nullptr;
+    if (state && state->end) {
+        keepFromLog(report.id, *state);
+        keepUpdate(from, report);
+        return;
+    }
+    bool whole = report.state == task_state::running || report.state == task_state::done;
+    if (journaled && !state && !whole && !m_journal.recovered())
+        return; // The holder repeats the report until the log says what this is.
+    if (state && !state->first.work.id.empty())
+        createFromLog(report.id, *state);
+    else
+        createFromReport(report, journaled);
+    note(m_items.at(report.id), "reported by " + from);
+    // A report that names no running task still ends the attempt it names.
+    item& it = m_items.at(report.id);
+    if (report.state != task_state::running) {
+        it.work.attempt = report.attempt;
+        placed at;
+        at.acknowledged = true;
+        if (const member* m = m_members.promised().find(from))
+            at.holder = *m;
+        setPhase(it, at);
+    }
+    absorb(from, m_members.promised().id, report);
+}
+
+void ledger::createFromReport(const task_report& report, bool journaled)
+{
+    item& it = m_items[report.id];
+    it.work.id = report.id;
+    it.work.entry = report.entry;
+    it.work.need = report.need;
+    it.work.batch = report.batch;
+    it.work.idempotent = report.idempotent;
+    it.journaled = journaled;
+    it.known = false;
+    it.everStarted = true;
+    it.created = m_context.now;
+    it.phase = recording {};
+    m_entryCounts[it.work.entry]++;
+}
+
+ledger::item& ledger::createFromLog(const work_id& id, const durable_state& state)
+{
+    item& it = m_items[id];
+    it.work = state.first.work;
+    it.work.attempt = state.attempt;
+    it.work.checkpoint = state.checkpoint;
+    it.bodyHash = state.first.bodyHash;
+    it.journaled = true;
+    it.durable = true;
+    it.everStarted = true;
+    it.created = m_context.now;
+    it.recordedAt = m_context.now;
+    it.deadline = m_context.now + milliseconds(it.work.deadlineMs);
+    it.phase = recording {};
+    m_entryCounts[it.work.entry]++;
+    note(it, "recovered from the log");
+    return it;
+}
+
+void ledger::keepFromLog(const work_id& id, const durable_state& state)
+{
+    kept_answer keep;
+    keep.bodyHash = state.first.bodyHash;
+    keep.attempt = state.end->work.attempt;
+    keep.at = m_context.now;
+    keep.answer = refusedAnswer(id, reason::outcome_unknown, "the outcome of work " + id + " is not known");
+    keep.answer.worker = state.end->worker;
+    keep.answer.attempt = keep.attempt;
+    if (state.end->kind == record_kind::done) {
+        keep.answer.state = answer_state::done;
+        keep.answer.result = state.end->result;
+        keep.answer.why = {};
+    } else if (state.end->kind == record_kind::failed) {
+        keep.answer.why = { reason::task_failed, "work " + id + " failed" };
+    } else if (state.end->kind == record_kind::cancelled) {
+        keep.answer.why = { reason::cancelled, "work " + id + " was cancelled" };
+    }
+    m_kept[id] = std::move(keep);
+    m_keptOrder.emplace_back(m_context.now, id);
+}
+
+void ledger::onEnded(item& it, const task_report& report)
+{
+    work_id id = it.work.id;
+    note(it, std::string(toString(report.state)) + " on " + report.worker);
+    answer out;
+    out.id = id;
+    out.attempt = report.attempt;
+    out.worker = report.worker;
+    switch (report.state) {
+    case task_state::running:
+    case task_state::never_started:
+        return;
+    case task_state::done:
+        out.state = answer_state::done;
+        out.result = report.result;
+        finish(it, out, record_kind::done);
+        return;
+    case task_state::failed:
+        it.failures++;
+        if (it.work.idempotent && it.known && it.failures < maxFailures) {
+            retry(it, reason::retry_task_failed, m_context.jitter(retryPauseMs));
+            return;
+        }
+        out.why = { reason::task_failed, "work " + id + " failed on worker " + report.worker };
+        finish(it, out, record_kind::failed);
+        return;
+    case task_state::stopped:
+        out.why = { it.cancelling ? reason::cancelled : reason::outcome_unknown,
+            "work " + id + " was stopped on worker " + report.worker };
+        if (!it.cancelling && it.work.idempotent && it.known) {
+            retry(it, reason::retry_worker_lost, m_context.jitter(retryPauseMs));
+            return;
+        }
+        finish(it, out, it.cancelling ? record_kind::cancelled : record_kind::unknown);
+        return;
+    case task_state::evicted: {
+        it.work.checkpoint = report.checkpoint;
+        work_record record;
+        record.kind = record_kind::evict;
+        record.work.id = id;
+        record.work.attempt = report.attempt;
+        record.work.checkpoint = report.checkpoint;
+        if (it.journaled)
+            m_journal.add(std::move(record));
+        retry(it, reason::retry_evicted, m_context.jitter(retryPauseMs));
+        return;
+    }
+    case task_state::lost:
+        if (it.work.idempotent || m_context.has(fault::rerun_unknown)) {
+            retry(it, reason::retry_worker_lost, m_context.jitter(retryPauseMs));
+            return;
+        }
+        out.why
+            = { reason::outcome_unknown, "worker " + report.worker + " was lost while work " + id + " ran" };
+        finish(it, out, record_kind::unknown);
+        return;
+    }
+}
+
+void ledger::retry(item& it, reason why, instant pause)
+{
+    m_context.count(why);
+    work_id id = it.work.id;
+    if (it.cancelling) {
+        finish(it, refusedAnswer(id, reason::cancelled, "cancelled by a request"), record_kind::cancelled);
+        return;
+    }
+    // Without its body the work cannot run again; a caller who still wants it asks again.
+    bool pointless = !it.known || (it.expired && it.waiters.empty() && !it.work.batch);
+    if (pointless) {
+        eraseItem(id);
+        return;
+    }
+    enqueue(it, m_context.now + pause, why);
+}
+
+void ledger::finish(item& it, const answer& out, record_kind kind)
+{
+    work_id id = it.work.id;
+    kept_answer keep;
+    keep.answer = out;
+    keep.bodyHash = it.bodyHash;
+    keep.attempt = it.work.attempt;
+    keep.at = m_context.now;
+    if (it.journaled) {
+        work_record record;
+        record.kind = kind;
+        record.work.id = id;
+        record.work.attempt = it.work.attempt;
+        record.result = out.state == answer_state::done ? out.result : std::string();
+        record.worker = out.worker;
+        keep.recordId = m_journal.add(std::move(record));
+        m_records[keep.recordId] = id;
+    }
+    answerWaiters(it, out);
+    eraseItem(id);
+    // Work that was refused unrun leaves no trace, so that a retry with the same key may run.
+    bool refusedUnrun = !keep.recordId.empty() ? false : describe(out.why.code).ran == run_fact::no;
+    if (out.state == answer_state::refused && refusedUnrun && out.why.code != reason::cancelled)
+        return;
+    m_kept[id] = std::move(keep);
+    m_keptOrder.emplace_back(m_context.now, id);
+}
+
+void ledger::eraseItem(const work_id& id)
+{
+    auto found = m_items.find(id);
+    if (found == m_items.end())
+        return;
+    item& it = found->second;
+    setPhase(it, recording {});
+    for (const auto& [ticket, async] : it.waiters)
+        m_ticketWork.erase(ticket);
+    auto count = m_entryCounts.find(it.work.entry);
+    if (count != m_entryCounts.end() && --count->second <= 0)
+        m_entryCounts.erase(count);
+    m_items.erase(found);
+}
+
+// ---- Doubts and recovery ---------------------------------------------------------------------------------
+
+void ledger::resolveDoubts()
+{
+    if (!m_members.closed())
+        return;
+    std::vector<work_id> doubted;
+    for (auto& [id, it] : m_items) {
+        const auto* at = std::get_if<placed>(&it.phase);
+        if (at && at->doubted)
+            doubted.push_back(id);
+    }
+    for (const auto& id : doubted)
+        resolveDoubt(m_items.at(id));
+}
+
+// Every worker was taken under this view and none listed the attempt.
+void ledger::resolveDoubt(item& it)
+{
+    note(it, "its holder is gone and no worker has it");
+    it.everStarted = true;
+    if (it.work.idempotent || m_context.has(fault::rerun_unknown)) {
+        retry(it, reason::retry_worker_lost, m_context.jitter(retryPauseMs));
+        return;
+    }
+    work_id id = it.work.id;
+    finish(it, refusedAnswer(id, reason::outcome_unknown, "the holder of work " + id + " was lost"),
+        record_kind::unknown);
+}
+
+void ledger::onJournal()
+{
+    for (const auto& [recordId, durable] : m_journal.takeSettled()) {
+        auto keep = m_keepAfter.find(recordId);
+        if (keep != m_keepAfter.end()) {
+            keepUpdate(keep->second.first, keep->second.second);
+            m_keepAfter.erase(keep);
+        }
+        auto found = m_records.find(recordId);
+        if (found == m_records.end())
+            continue;
+        work_id id = found->second;
+        m_records.erase(found);
+        auto kept = m_kept.find(id);
+        if (kept != m_kept.end() && kept->second.recordId == recordId)
+            kept->second.recordId.clear();
+        auto it = m_items.find(id);
+        if (it == m_items.end())
+            continue;
+        const auto* waiting = std::get_if<recording>(&it->second.phase);
+        if (!waiting || waiting->recordId != recordId)
+            continue;
+        if (!durable) {
+            answer out = refusedAnswer(id, reason::log_unavailable, "the record was not taken");
+            answerWaiters(it->second, out);
+            eraseItem(id);
+            continue;
+        }
+        it->second.durable = true;
+        it->second.recordedAt = m_context.now;
+        note(it->second, "recorded");
+        enqueue(it->second, m_context.now, reason::no_room);
+        if (it->second.work.batch)
+            acceptWaiters(it->second);
+    }
+}
+
+// After a view is closed the whole log is compared with what is under way; later, only what was read anew.
+void ledger::recoverAll()
+{
+    if (!m_journal.recovered() || !m_members.closed())
+        return;
+    auto changed = m_journal.takeChanged();
+    if (m_scanned) {
+        for (const auto& id : changed)
+            recover(id);
+        return;
+    }
+    m_scanned = true;
+    changed.clear();
+    for (const auto& [id, state] : m_journal.states())
+        changed.push_back(id);
+    for (const auto& id : changed)
+        recover(id);
+}
+
+void ledger::recover(const work_id& id)
+{
+    bool mine = m_members.promised().ownerOfWork(id) == m_context.options.self.id;
+    const durable_state* state = m_journal.find(id);
+    if (!mine || !state || state->first.work.id.empty() || m_kept.count(id))
+        return;
+    auto found = m_items.find(id);
+    if (found != m_items.end()) {
+        completeFromLog(found->second, *state);
+        return;
+    }
+    if (state->end) {
+        keepFromLog(id, *state);
+        return;
+    }
+    item& it = createFromLog(id, *state);
+    bool mayRun = it.work.batch && it.work.idempotent;
+    if (mayRun || m_context.has(fault::rerun_unknown)) {
+        enqueue(it, m_context.now, reason::no_room);
+        return;
+    }
+    finish(it, refusedAnswer(id, reason::outcome_unknown, "the intent of work " + id + " has no outcome"),
+        record_kind::unknown);
+}
+
+void ledger::completeFromLog(item& it, const durable_state& state)
+{
+    if (it.known)
+        return;
+    it.known = true;
+    it.durable = true;
+    it.recordedAt = m_context.now;
+    it.work.body = state.first.work.body;
+    it.work.owner = state.first.work.owner;
+    it.work.urgent = state.first.work.urgent;
+    it.bodyHash = state.first.bodyHash;
+    it.deadline = m_context.now + milliseconds(state.first.work.deadlineMs);
+}
+
+} // namespace camphorwell
--- /dev/null
+++ b/src/coordination/request/router.cpp
@@ -0,0 +1,249 @@
+// See router.h for the algorithm.
+#include "coordination/request/router.h"
+
+namespace camphorwell {
+
+namespace {
+
+    constexpr int64_t resendForwardMs = 1000;
+    constexpr int64_t unsettledPauseMs = 40; // Pause before an unsettled owner is asked again.
+    constexpr int64_t deadlineGraceMs
+        = 150; // The owner answers at the deadline; this allows for the way back.
+    constexpr uint8_t maxHops = 4;
+    constexpr size_t maxPending = 20'000;
+
+} // namespace
+
+router::router(context& shared, membership& members)
+    : m_context(shared)
+    , m_members(members)
+{
+}
+
+void router::onSubmission(const submission& given)
+{
+    if (m_pending.size() >= maxPending) {
+        m_context.out.push_back(answer_action { given.ticket,
+            refusedAnswer(
+                given.request.id, reason::queue_full, std::to_string(maxPending) + " requests wait") });
+        return;
+    }
+    request asked = given.request;
+    if (asked.id.empty())
+        asked.id = unkeyedWorkId(m_context.options.dataCentre, m_context.options.self, m_nextUnkeyed++);
+    add(local_origin { given.ticket }, std::move(asked));
+}
+
+void router::onForward(const instance_id& from, const forward& sent)
+{
+    peer_origin source { from, sent.ticket };
+    if (m_byPeer.count(source))
+        return; // A repetition; the first is still under way.
+    if (sent.request.hops >= maxHops || m_pending.size() >= maxPending) {
+        reason code = sent.request.hops >= maxHops ? reason::owner_unsettled : reason::queue_full;
+        m_context.send(from,
+            forwarded_answer { sent.ticket,
+                refusedAnswer(sent.request.id, code, "at instance " + m_context.options.self.id) });
+        return;
+    }
+    add(source, sent.request);
+}
+
+void router::add(origin_type source, request asked)
+{
+    uint64_t ticket = m_nextTicket++;
+    pending& entry = m_pending[ticket];
+    entry.origin = source;
+    entry.request = std::move(asked);
+    entry.deadline = m_context.now + milliseconds(entry.request.deadlineMs);
+    if (const auto* peer = std::get_if<peer_origin>(&source))
+        m_byPeer[*peer] = ticket;
+    route(ticket);
+}
+
+instance_id router::remoteTarget(const std::string& dataCentre, const work_id& id) const
+{
+    // The same instance for the same work while it lives, so that repetitions meet.
+    std::vector<instance_id> live;
+    for (const auto& [peer, seen] : m_remote) {
+        bool recent = m_context.now - seen.lastHeard < milliseconds(m_context.options.peerTimeoutMs * 2);
+        if (seen.dataCentre == dataCentre && recent)
+            live.push_back(peer);
+    }
+    if (live.empty())
+        return {};
+    return live[stableHash(id) % live.size()];
+}
+
+instance_id router::targetOf(const pending& entry) const
+{
+    std::string home = homeOfWork(entry.request.id);
+    if (home != m_context.options.dataCentre)
+        return remoteTarget(home, entry.request.id);
+    if (!m_members.inView())
+        return {};
+    return m_members.promised().ownerOfWork(entry.request.id);
+}
+
+void router::route(uint64_t ticket)
+{
+    pending& entry = m_pending.at(ticket);
+    instance_id target = targetOf(entry);
+    bool remote = homeOfWork(entry.request.id) != m_context.options.dataCentre;
+    entry.nextTry = m_context.now + milliseconds(resendForwardMs);
+    if (target.empty()) {
+        entry.lastRefusal = remote ? reason::home_unreachable
+            : m_members.inView()   ? reason::unknown_work
+                                   : reason::not_ready;
+        entry.nextTry = m_context.now + milliseconds(unsettledPauseMs);
+        // Waiting does not bring back a cut-off data centre or an instance that is gone.
+        if (remote || entry.lastRefusal == reason::unknown_work) {
+            bool possible = entry.left && entry.request.verb == verb::submit;
+            reason code = possible ? reason::outcome_unknown : entry.lastRefusal;
+            deliver(ticket, refusedAnswer(entry.request.id, code, "home of work " + entry.request.id));
+        }
+        return;
+    }
+    entry.target = target;
+    request onward = entry.request;
+    onward.deadlineMs = std::max<int64_t>((entry.deadline - m_context.now).count() / 1000, 1);
+    if (target == m_context.options.self.id) {
+        m_ledger->onRequest(ticket, onward);
+        return;
+    }
+    entry.left = true;
+    onward.hops++;
+    m_context.send(target, forward { ticket, std::move(onward) });
+}
+
+void router::onAnswer(const instance_id& from, const forwarded_answer& sent)
+{
+    auto found = m_pending.find(sent.ticket);
+    if (found == m_pending.end() || found->second.target != from)
+        return;
+    deliver(sent.ticket, sent.answer);
+}
+
+void router::deliver(uint64_t ticket, const answer& given)
+{
+    auto found = m_pending.find(ticket);
+    if (found == m_pending.end())
+        return;
+    pending& entry = found->second;
+    bool unsettled = given.state == answer_state::refused && given.why.code == reason::owner_unsettled;
+    bool local = std::holds_alternative<local_origin>(entry.origin);
+    if (unsettled && local && m_context.now < entry.deadline) {
+        m_context.count(reason::retry_forward);
+        entry.lastRefusal = given.why.code;
+        entry.nextTry = m_context.now + m_context.jitter(unsettledPauseMs);
+        entry.target.clear();
+        return;
+    }
+    origin_type source = entry.origin;
+    if (const auto* peer = std::get_if<peer_origin>(&source))
+        m_byPeer.erase(*peer);
+    m_pending.erase(found);
+    reply(source, given);
+}
+
+void router::reply(const origin_type& source, const answer& given)
+{
+    if (const auto* local = std::get_if<local_origin>(&source)) {
+        if (given.state == answer_state::refused)
+            m_context.count(given.why.code);
+        m_context.out.push_back(answer_action { local->ticket, given });
+        return;
+    }
+    const auto& peer = std::get<peer_origin>(source);
+    m_context.send(peer.from, forwarded_answer { peer.ticket, given });
+}
+
+void router::onNewView()
+{
+    std::vector<uint64_t> moved;
+    for (const auto& [ticket, entry] : m_pending) {
+        if (targetOf(entry) != entry.target)
+            moved.push_back(ticket);
+    }
+    for (uint64_t ticket : moved) {
+        if (!m_pending.count(ticket))
+            continue;
+        m_context.count(reason::retry_forward);
+        route(ticket);
+    }
+}
+
+void router::onPeerDown(const instance_id& peer)
+{
+    for (auto& [ticket, entry] : m_pending) {
+        if (entry.target == peer)
+            entry.nextTry = m_context.now;
+    }
+    m_remote.erase(peer);
+}
+
+void router::onRemoteHeard(const std::string& dataCentre, const member& from, const heartbeat& beat)
+{
+    m_remote[from.id] = { dataCentre, m_context.now, beat.catalogueNext };
+}
+
+void router::expire(uint64_t ticket)
+{
+    const pending& entry = m_pending.at(ticket);
+    bool atOwner = entry.target == m_context.options.self.id;
+    bool mayRun = entry.request.verb == verb::submit && (entry.left || atOwner);
+    reason code = mayRun ? reason::outcome_unknown : entry.lastRefusal;
+    if (atOwner)
+        m_ledger->forget(ticket);
+    std::string detail = "no answer for work " + entry.request.id + " before the deadline";
+    answer out = refusedAnswer(entry.request.id, code, detail);
+    origin_type source = entry.origin;
+    if (const auto* peer = std::get_if<peer_origin>(&source))
+        m_byPeer.erase(*peer);
+    m_pending.erase(ticket);
+    reply(source, out);
+}
+
+void router::onTick()
+{
+    std::vector<uint64_t> overdue;
+    std::vector<uint64_t> again;
+    for (const auto& [ticket, entry] : m_pending) {
+        if (m_context.now >= entry.deadline + milliseconds(deadlineGraceMs))
+            overdue.push_back(ticket);
+        else if (m_context.now >= entry.nextTry && entry.target != m_context.options.self.id)
+            again.push_back(ticket);
+    }
+    for (uint64_t ticket : overdue) {
+        if (m_pending.count(ticket))
+            expire(ticket);
+    }
+    for (uint64_t ticket : again) {
+        if (m_pending.count(ticket))
+            route(ticket);
+    }
+}
+
+void router::catalogueReach(
+    int64_t nextOffset, std::vector<std::string>& inForce, std::vector<std::string>& notYet) const
+{
+    std::map<std::string, bool> reached;
+    for (const auto& dataCentre : m_context.options.dataCentres())
+        reached[dataCentre] = false;
+    reached[m_context.options.dataCentre] = true;
+    std::map<std::string, bool> behind;
+    for (const auto& [peer, seen] : m_remote) {
+        if (seen.catalogueNext >= nextOffset)
+            reached[seen.dataCentre] = true;
+        else
+            behind[seen.dataCentre] = true;
+    }
+    for (const auto& [dataCentre, yes] : reached) {
+        if (yes && !behind[dataCentre])
+            inForce.push_back(dataCentre);
+        else
+            notYet.push_back(dataCentre);
+    }
+}
+
+} // namespace camphorwell
--- /dev/null
+++ b/src/coordination/request/router.h
@@ -0,0 +1,78 @@
+// Takes each request from its caller, or from another instance, to the owner of the work and brings the
+// answer back.
+//
+// A pending request knows where it was sent. It is sent again when the owner changes, the link breaks, or
+// no answer comes; the owner recognises the work by its id, so a repetition joins the first. Past the
+// deadline the caller gets `ran: no` when the request never left this instance and `ran: unknown` otherwise.
+#pragma once
+
+#include "coordination/request/ledger.h"
+
+namespace camphorwell {
+
+struct local_origin {
+    uint64_t ticket = 0;
+};
+struct peer_origin {
+    instance_id from;
+    uint64_t ticket = 0;
+    auto operator<=>(const peer_origin&) const = default;
+};
+// Where a request came from.
+using origin_type = std::variant<local_origin, peer_origin>;
+
+class router {
+public:
+    router(context&, membership&);
+    // The ledger that requests of this instance go to; set once before the first event.
+    void setLedger(ledger* owner) { m_ledger = owner; }
+
+    void onSubmission(const submission&);
+    void onForward(const instance_id& from, const forward&);
+    void onAnswer(const instance_id& from, const forwarded_answer&);
+    // The ledger's answer to one of the router's tickets.
+    void deliver(uint64_t ticket, const answer&);
+    void onNewView();
+    void onPeerDown(const instance_id&);
+    void onRemoteHeard(const std::string& dataCentre, const member&, const heartbeat&);
+    void onTick();
+
+    bool idle() const { return m_pending.empty(); }
+    // Data centres whose instances report a catalogue of at least `nextOffset`, and those that do not.
+    void catalogueReach(
+        int64_t nextOffset, std::vector<std::string>& inForce, std::vector<std::string>& notYet) const;
+
+private:
+    struct pending {
+        origin_type origin;
+        camphorwell::request request;
+        instance_id target;
+        bool left = false; // Sent to another instance at least once.
+        instant deadline { 0 };
+        instant nextTry { 0 };
+        reason lastRefusal = reason::owner_unsettled;
+    };
+    struct remote_peer {
+        std::string dataCentre;
+        instant lastHeard { 0 };
+        int64_t catalogueNext = 0;
+    };
+
+    void add(origin_type, request);
+    void route(uint64_t ticket);
+    instance_id targetOf(const pending&) const;
+    instance_id remoteTarget(const std::string& dataCentre, const work_id&) const;
+    void reply(const origin_type&, const answer&);
+    void expire(uint64_t ticket);
+
+    context& m_context;
+    membership& m_members;
+    ledger* m_ledger = nullptr;
+    std::map<uint64_t, pending> m_pending;
+    std::map<peer_origin, uint64_t> m_byPeer;
+    std::map<instance_id, remote_peer> m_remote;
+    uint64_t m_nextTicket = 1;
+    uint64_t m_nextUnkeyed = 1;
+};
+
+} // namespace camphorwell
--- /dev/null
+++ b/src/ctl/main.cpp
@@ -0,0 +1,342 @@
+// camphorwellctl: the operators' command line.
+#include "catalogue/catalogue.h"
+#include "entry/entry.h"
+#include "net/net.h"
+
+#include <algorithm>
+#include <fstream>
+#include <getopt.h>
+#include <iostream>
+#include <sstream>
+#include <unistd.h>
+
+namespace {
+
+using namespace camphorwell;
+using nlohmann::json;
+
+enum exit_code : int { success = 0, refused = 1, usage = 2, unreachable = 3, conflict = 4 };
+
+constexpr int64_t callMs = 20'000;
+
+constexpr const char* helpText
+    = "usage: camphorwellctl [--server ADDRESS:PORT] [--json] COMMAND\n"
+      "\n"
+      "  catalogue list            entries in force, with owner, class and version\n"
+      "  catalogue show NAME       one entry\n"
+      "  catalogue diff FILE       what `apply` would change\n"
+      "  catalogue apply FILE      put the entries of FILE in force; FILE holds one entry or a list\n"
+      "  catalogue history         the latest changes, who made them, and which of them won\n"
+      "  check FILE...             check catalogue or settings files without any server\n"
+      "  status                    the instance's view, workers and queues\n"
+      "  explain ID                why a piece of work waits, or where it ran\n"
+      "  cancel ID                 cancel a piece of work\n"
+      "  drain                     ask the instance to stop gracefully\n"
+      "\n"
+      "  --server ADDRESS:PORT     an entry instance; default 127.0.0.1:8080\n"
+      "  --json                    print JSON for scripts\n"
+      "  --help                    this text\n"
+      "\n"
+      "exit codes: 0 done, 1 refused, 2 wrong usage or invalid file, 3 no answer, 4 the entry was changed "
+      "by\n"
+      "somebody else\n";
+
+[[noreturn]] void failUsage(const std::string& why)
+{
+    std::cerr << "camphorwellctl: " << why << "\n" << helpText;
+    std::exit(usage);
+}
+
+struct arguments {
+    std::string address = "127.0.0.1";
+    uint16_t port = 8080;
+    bool asJson = false;
+    std::vector<std::string> words;
+};
+
+void setServer(arguments& out, const std::string& value)
+{
+    size_t colon = value.rfind(':');
+    int port = colon == std::string::npos ? 0 : std::atoi(value.c_str() + colon + 1);
+    if (port < 1 || port > 65535)
+        failUsage("--server " + value + ": must be ADDRESS:PORT");
+    out.address = value.substr(0, colon);
+    out.port = static_cast<uint16_t>(port);
+}
+
+arguments parseArguments(int argc, char** argv)
+{
+    const option longOptions[]
+        = { { "server", required_argument, nullptr, 's' }, { "json", no_argument, nullptr, 'j' },
+              { "help", no_argument, nullptr, 'h' }, { nullptr, 0, nullptr, 0 } };
+    arguments out;
+    int chosen = 0;
+    while ((chosen = getopt_long(argc, argv, "", longOptions, nullptr)) != -1) {
+        if (chosen == 's') {
+            setServer(out, optarg);
+        } else if (chosen == 'j') {
+            out.asJson = true;
+        } else if (chosen == 'h') {
+            std::cout << helpText;
+            std::exit(success);
+        } else {
+            std::exit(usage);
+        }
+    }
+    for (int i = optind; i < argc; i++)
+        out.words.emplace_back(argv[i]);
+    return out;
+}
+
+// One command of the operator against one instance.
+class control {
+public:
+    explicit control(const arguments& given)
+        : m_given(given)
+        , m_client(m_loop, given.address, given.port, 1)
+    {
+    }
+
+    int run()
+    {
+        const auto& words = m_given.words;
+        if (words.empty())
+            failUsage("a command is needed");
+        if (words[0] == "check")
+            return check();
+        if (words[0] == "catalogue" && words.size() >= 2)
+            return runCatalogue(words[1]);
+        if (words[0] == "status")
+            return print(call("GET", "/v1/status"));
+        if (words[0] == "explain" && words.size() == 2)
+            return explain();
+        if (words[0] == "cancel" && words.size() == 2)
+            return cancel();
+        if (words[0] == "drain")
+            return print(call("POST", "/v1/drain"));
+        failUsage("unknown command " + words[0]);
+    }
+
+private:
+    http_response call(const std::string& method, const std::string& path, const header_list& headers = {},
+        const std::string& body = {})
+    {
+        http_response out;
+        m_client.call(method, path, headers, body, callMs, [&](const http_response& answer) {
+            out = answer;
+            m_loop.stop();
+        });
+        m_loop.run();
+        if (out.status == 0) {
+            std::cerr << "camphorwellctl: no answer from " << m_given.address << ":" << m_given.port << "\n";
+            std::exit(unreachable);
+        }
+        return out;
+    }
+
+    int failed(const http_response& answer)
+    {
+        json body = json::parse(answer.body, nullptr, false);
+        if (m_given.asJson || !body.is_object()) {
+            std::cout << answer.body;
+        } else {
+            std::cerr << "refused: " << body.value("reason", "") << ": " << body.value("detail", "")
+                      << " (ran: " << body.value("ran", "") << ")\n";
+        }
+        return answer.status == 412 ? conflict : refused;
+    }
+
+    int print(const http_response& answer)
+    {
+        if (answer.status >= 400)
+            return failed(answer);
+        json body = json::parse(answer.body, nullptr, false);
+        if (m_given.asJson || !body.is_object()) {
+            std::cout << answer.body;
+            return success;
+        }
+        for (const auto& [name, value] : body.items())
+            std::cout << name << ": " << (value.is_string() ? value.get<std::string>() : value.dump())
+                      << "\n";
+        return success;
+    }
+
+    int runCatalogue(const std::string& verb)
+    {
+        const auto& words = m_given.words;
+        if (verb == "list")
+            return list();
+        if (verb == "show" && words.size() == 3)
+            return print(call("GET", "/v1/catalogue/" + words[2]));
+        if (verb == "history")
+            return history();
+        if ((verb == "diff" || verb == "apply") && words.size() == 3)
+            return applyFile(words[2], verb == "apply");
+        failUsage("unknown command catalogue " + verb);
+    }
+
+    int list()
+    {
+        http_response answer = call("GET", "/v1/catalogue");
+        if (answer.status != 200 || m_given.asJson)
+            return print(answer);
+        json body = json::parse(answer.body);
+        for (const auto& item : body["entries"]) {
+            const auto& entry = item["entry"];
+            std::cout << entry["name"].get<std::string>() << "  owner=" << entry["owner"].get<std::string>()
+                      << "  class=" << entry["class"].get<std::string>() << "  version=" << item["version"]
+                      << "\n";
+        }
+        return success;
+    }
+
+    int history()
+    {
+        http_response answer = call("GET", "/v1/history");
+        if (answer.status != 200 || m_given.asJson)
+            return print(answer);
+        json body = json::parse(answer.body);
+        for (const auto& change : body["changes"]) {
+            std::cout << "version=" << change["offset"].get<int64_t>() + 1 << "  "
+                      << change["name"].get<std::string>() << "  base=" << change["base"] << "  "
+                      << change["verdict"].get<std::string>()
+                      << "  by=" << change["author"].get<std::string>() << "\n";
+        }
+        return success;
+    }
+
+    static json readFile(const std::string& file)
+    {
+        std::ifstream in(file);
+        json document = in ? json::parse(in, nullptr, false) : json(json::value_t::discarded);
+        if (document.is_discarded()) {
+            std::cerr << file << ": cannot be read as JSON\n";
+            std::exit(usage);
+        }
+        return document;
+    }
+
+    static json entriesOf(const json& document)
+    {
+        return document.is_array() ? document : json::array({ document });
+    }
+
+    // Prints every fault and returns how many there are.
+    static size_t checkFile(const std::string& file)
+    {
+        json document = readFile(file);
+        std::vector<field_error> faults;
+        bool isSettings = document.is_object() && document.contains("instance");
+        if (isSettings) {
+            boost::leaf::try_handle_all(
+                [&]() -> result<void> {
+                    BOOST_LEAF_CHECK(parseSettings(document));
+                    return {};
+                },
+                [&](const e_settings& error) { faults = error.faults; },
+                [&] {
+                    faults.push_back({ "/", file, "cannot be checked" });
+                });
+        } else {
+            for (const auto& item : entriesOf(document))
+                parseEntry(item, faults);
+        }
+        for (const auto& fault : faults)
+            std::cerr << file << ": " << fault.str() << "\n";
+        return faults.size();
+    }
+
+    int check()
+    {
+        size_t faults = 0;
+        if (m_given.words.size() < 2)
+            failUsage("check needs a file");
+        for (size_t i = 1; i < m_given.words.size(); i++) {
+            size_t found = checkFile(m_given.words[i]);
+            if (found == 0)
+                std::cout << m_given.words[i] << ": ok\n";
+            faults += found;
+        }
+        return faults == 0 ? success : usage;
+    }
+
+    int applyFile(const std::string& file, bool apply)
+    {
+        if (checkFile(file) != 0)
+            return usage;
+        int worst = success;
+        for (const auto& item : entriesOf(readFile(file)))
+            worst = std::max(worst, applyEntry(item, apply));
+        return worst;
+    }
+
+    int applyEntry(const json& item, bool apply)
+    {
+        std::vector<field_error> faults;
+        entry wanted = *parseEntry(item, faults);
+        http_response current = call("GET", "/v1/catalogue/" + wanted.name);
+        uint64_t version = 0;
+        if (current.status == 200) {
+            json body = json::parse(current.body);
+            version = body["version"].get<uint64_t>();
+            if (body["entry"] == toJson(wanted)) {
+                std::cout << wanted.name << ": unchanged\n";
+                return success;
+            }
+        }
+        if (!apply) {
+            json before = current.status == 200 ? json::parse(current.body)["entry"] : json::object();
+            std::cout << wanted.name << ": " << json::diff(before, toJson(wanted)).dump(2) << "\n";
+            return success;
+        }
+        const char* user = std::getenv("USER");
+        header_list headers = { { "If-Match", "\"" + std::to_string(version) + "\"" },
+            { "X-Author", user ? user : "unknown" }, { "Content-Type", "application/json" } };
+        http_response answer = call("PUT", "/v1/catalogue/" + wanted.name, headers, item.dump());
+        if (answer.status != 200)
+            return failed(answer);
+        if (m_given.asJson) {
+            std::cout << answer.body;
+            return success;
+        }
+        json body = json::parse(answer.body);
+        std::cout << wanted.name << ": version " << body["version"] << " in force in "
+                  << body["in_force"].dump() << ", not yet in " << body["not_yet"].dump() << "\n";
+        return success;
+    }
+
+    int explain()
+    {
+        http_response answer = call("GET", "/v1/explain/" + m_given.words[1]);
+        if (answer.status != 200 || m_given.asJson)
+            return print(answer);
+        json body = json::parse(answer.body);
+        std::cout << body["text"].get<std::string>() << "\n";
+        for (const auto& field : body["fields"])
+            std::cout << "  " << field[0].get<std::string>() << ": " << field[1].get<std::string>() << "\n";
+        return success;
+    }
+
+    int cancel()
+    {
+        http_response answer = call("DELETE", "/v1/work/" + m_given.words[1]);
+        json body = json::parse(answer.body, nullptr, false);
+        bool cancelled = body.is_object() && body.value("reason", "") == "cancelled";
+        if (!cancelled)
+            return print(answer);
+        std::cout << (m_given.asJson ? answer.body : "cancelled\n");
+        return success;
+    }
+
+    const arguments& m_given;
+    event_loop m_loop;
+    http_client m_client;
+};
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    arguments given = parseArguments(argc, argv);
+    return control(given).run();
+}
--- /dev/null
+++ b/src/entry/process/daemon.cpp
@@ -0,0 +1,255 @@
+// The loop around the node: carries out its actions and feeds it what comes back.
+#include "entry/process/daemon.h"
+
+#include <glog/logging.h>
+
+namespace camphorwell {
+
+namespace {
+
+    constexpr int64_t tickMs = 20;
+    constexpr int64_t hubTickMs = 100;
+    constexpr int64_t listMs = 500; // Between reads of the platform's list.
+    constexpr int64_t registerMs = 500;
+    constexpr int64_t logCallMs = 2500;
+    constexpr int64_t drainPollMs = 50;
+
+    const header_list jsonHeaders = { { "Content-Type", "application/json" } };
+
+    peer_hub_options hubOptions(const entry_settings& settings)
+    {
+        peer_hub_options out;
+        out.self = { settings.node.self.id, settings.node.self.incarnation, settings.node.dataCentre };
+        out.key = settings.peerKey;
+        out.silenceMs = settings.node.peerTimeoutMs;
+        return out;
+    }
+
+    reason reasonOf(link_fault fault)
+    {
+        switch (fault) {
+        case link_fault::wrong_key:
+            return reason::peer_wrong_key;
+        case link_fault::silent:
+            return reason::peer_silent;
+        case link_fault::oversized:
+            return reason::peer_oversized;
+        case link_fault::backlog:
+            return reason::peer_backlog;
+        }
+        return reason::peer_malformed;
+    }
+
+} // namespace
+
+entry_daemon::parts::parts(event_loop& eventLoop, entry_settings given)
+    : loop(eventLoop)
+    , settings(std::move(given))
+    , core(settings.node, settings.node.self.incarnation)
+    , hub(
+          eventLoop.base(), hubOptions(settings),
+          [this](const peer_identity& from, const std::string& payload) { onPeer(from, payload); },
+          [this](const std::string& instance) { feed(peer_down { instance }); },
+          [this](link_fault fault, const std::string& instance) { onFault(fault, instance); })
+    , server(eventLoop, settings.http,
+          [this](http_request asked, std::shared_ptr<http_reply> reply) { serve(asked, reply); })
+    , platform(eventLoop, settings.platformAddress, settings.platformPort, platformConnections)
+{
+    for (const auto& peer : settings.peers)
+        peerCentres[peer.instance] = peer.dataCentre;
+}
+
+result<void> entry_daemon::parts::start()
+{
+    std::string failed = hub.listen(settings.peerAddress, settings.peerPort);
+    if (!failed.empty())
+        return boost::leaf::new_error(e_net { failed });
+    BOOST_LEAF_CHECK(server.listen(settings.httpAddress, settings.httpPort));
+    for (const auto& peer : settings.peers)
+        hub.addPeer(peer.instance, peer.address, peer.port);
+    loop.every(tickMs, [this] { feed(tick {}); });
+    loop.every(hubTickMs, [this] { hub.tick(); });
+    loop.every(listMs, [this] { readList(); });
+    loop.every(registerMs, [this] { registerSelf(); });
+    readList();
+    registerSelf();
+    LOG(INFO) << log_line("started")
+                     .add("instance", settings.node.self.id)
+                     .add("data_centre", settings.node.dataCentre)
+                     .add("http_port", settings.httpPort)
+                     .str();
+    return {};
+}
+
+void entry_daemon::parts::feed(const event& what)
+{
+    for (const auto& each : core.handle(event_loop::now(), what))
+        std::visit([this](const auto& act) { perform(act); }, each);
+}
+
+void entry_daemon::parts::perform(const send_action& act)
+{
+    auto bytes = nlohmann::json::to_cbor(toJson(act.message));
+    hub.send(act.to, std::string(bytes.begin(), bytes.end()));
+}
+
+void entry_daemon::parts::perform(const call_action& act)
+{
+    auto found = workers.find(act.worker);
+    if (found == workers.end()) {
+        // Answered on the next turn of the loop, since the node is handling an event now.
+        loop.after(0, [this, call = act.call] { feed(worker_reply { call, std::nullopt }); });
+        return;
+    }
+    int64_t timeout = settings.node.callTimeoutMs;
+    if (const auto* start = std::get_if<start_call>(&act.what)) {
+        if (!start->work.batch)
+            timeout = std::max<int64_t>(timeout, start->work.deadlineMs);
+    }
+    found->second->call("POST", "/call", jsonHeaders, toJson(act.what).dump(), timeout,
+        [this, call = act.call](const http_response& response) { onWorker(call, response); });
+}
+
+void entry_daemon::parts::onWorker(uint64_t call, const http_response& response)
+{
+    worker_reply reply { call, std::nullopt };
+    if (response.status == 200) {
+        try {
+            reply.answer = workerAnswerFromJson(nlohmann::json::parse(response.body));
+        } catch (const nlohmann::json::exception& error) {
+            LOG(WARNING) << log_line("worker_answer_malformed").add("error", error.what()).str();
+        }
+    }
+    feed(reply);
+}
+
+void entry_daemon::parts::perform(const append_action& act)
+{
+    nlohmann::json body = { { "stream", act.stream }, { "records", act.records } };
+    platform.call("POST", "/append", jsonHeaders, body.dump(), logCallMs,
+        [this, call = act.call](const http_response& response) {
+            append_reply reply { call, append_status::unknown };
+            if (response.status == 200)
+                reply.status = append_status::durable;
+            else if (response.status != 0)
+                reply.status = append_status::refused;
+            feed(reply);
+        });
+}
+
+void entry_daemon::parts::perform(const read_action& act)
+{
+    std::string path = "/read?stream=" + act.stream + "&from=" + std::to_string(act.from);
+    platform.call("GET", path, {}, "", logCallMs, [this, call = act.call](const http_response& response) {
+        read_reply reply;
+        reply.call = call;
+        auto body = nlohmann::json::parse(response.body, nullptr, false);
+        if (response.status == 200 && body.is_object()) {
+            reply.ok = true;
+            reply.first = body.value("first", int64_t { 0 });
+            reply.next = body.value("next", int64_t { 0 });
+            reply.atEnd = body.value("end", false);
+            for (const auto& record : body["records"])
+                reply.records.push_back(
+                    { record.value("o", int64_t { 0 }), record.value("d", std::string()) });
+        }
+        feed(reply);
+    });
+}
+
+void entry_daemon::parts::perform(const log_action& act) { LOG(INFO) << act.line; }
+
+void entry_daemon::parts::readList()
+{
+    std::string path = "/list?dc=" + settings.node.dataCentre;
+    platform.call("GET", path, {}, "", logCallMs, [this](const http_response& response) {
+        auto body = nlohmann::json::parse(response.body, nullptr, false);
+        if (response.status != 200 || !body.is_object())
+            return;
+        platform_list list;
+        for (const auto& machine : body["machines"]) {
+            std::string id = machine.value("id", std::string());
+            if (machine.value("kind", std::string()) != "worker") {
+                list.instances.push_back(id);
+                continue;
+            }
+            list.workers.push_back(
+                { id, machine.value("rack", std::string()), machine.value("leaving", false) });
+            connectWorker(id, machine.value("address", std::string()), machine.value("port", uint16_t { 0 }));
+        }
+        feed(list);
+    });
+}
+
+void entry_daemon::parts::connectWorker(const worker_id& id, const std::string& address, uint16_t port)
+{
+    std::string where = address + ":" + std::to_string(port);
+    if (workerAddresses[id] == where)
+        return;
+    workerAddresses[id] = where;
+    workers[id] = std::make_unique<http_client>(loop, address, port, settings.workerConnections);
+}
+
+void entry_daemon::parts::registerSelf()
+{
+    nlohmann::json body = { { "kind", "instance" }, { "id", settings.node.self.id },
+        { "dc", settings.node.dataCentre }, { "address", settings.httpAddress },
+        { "port", settings.httpPort }, { "leaving", core.status().leaving } };
+    platform.call("POST", "/register", jsonHeaders, body.dump(), logCallMs, [](const http_response&) {});
+}
+
+void entry_daemon::parts::onPeer(const peer_identity& from, const std::string& payload)
+{
+    auto centre = peerCentres.find(from.instance);
+    try {
+        if (centre == peerCentres.end() || centre->second != from.dataCentre)
+            throw std::invalid_argument("the sender is not one of the peers in the settings");
+        peer_message received;
+        received.from = { from.instance, from.incarnation, false };
+        received.dataCentre = from.dataCentre;
+        received.message = messageFromJson(nlohmann::json::from_cbor(payload));
+        feed(received);
+    } catch (const std::exception& error) {
+        metrics.countConnection(reason::peer_malformed);
+        LOG(WARNING)
+            << log_line("peer_malformed").add("peer", from.instance).add("error", error.what()).str();
+    }
+}
+
+void entry_daemon::parts::onFault(link_fault fault, const std::string& instance)
+{
+    reason why = reasonOf(fault);
+    metrics.countConnection(why);
+    LOG(WARNING) << log_line("peer_fault").add("reason", describe(why).name).add("peer", instance).str();
+}
+
+void entry_daemon::parts::waitDrained()
+{
+    if (core.status().drained && replies.empty()) {
+        LOG(INFO) << log_line("drained").str();
+        // What was sent last still has to leave the buffers.
+        loop.after(drainPollMs, [this] { loop.stop(); });
+        return;
+    }
+    loop.after(drainPollMs, [this] { waitDrained(); });
+}
+
+entry_daemon::entry_daemon(event_loop& loop, entry_settings settings)
+    : m_parts(std::make_unique<parts>(loop, std::move(settings)))
+{
+}
+
+entry_daemon::~entry_daemon() = default;
+
+result<void> entry_daemon::start() { return m_parts->start(); }
+
+void entry_daemon::leave()
+{
+    if (m_parts->leaving)
+        return;
+    m_parts->leaving = true;
+    m_parts->feed(begin_leaving {});
+    m_parts->waitDrained();
+}
+
+} // namespace camphorwell
--- /dev/null
+++ b/src/schema/schema.cpp
@@ -0,0 +1,165 @@
+// Checks by valijson; the rule of each fault is spelled out from the schema at the field's place.
+#include "schema/schema.h"
+
+#include <set>
+#include <valijson/adapters/nlohmann_json_adapter.hpp>
+#include <valijson/schema.hpp>
+#include <valijson/schema_parser.hpp>
+#include <valijson/validation_results.hpp>
+#include <valijson/validator.hpp>
+
+namespace camphorwell {
+
+namespace {
+
+    using nlohmann::json;
+
+    constexpr size_t maxValueLength = 100; // Characters of a value shown in an error.
+
+    // Turns valijson's context ("<root>", "[limits]", "[2]") into a JSON pointer.
+    json::json_pointer pointerFrom(const std::vector<std::string>& context)
+    {
+        json::json_pointer out;
+        for (size_t i = 1; i < context.size(); i++) {
+            const std::string& part = context[i];
+            bool bracketed = part.size() >= 2 && part.front() == '[' && part.back() == ']';
+            out /= bracketed ? part.substr(1, part.size() - 2) : part;
+        }
+        return out;
+    }
+
+    const json* schemaAt(const json& schema, const std::vector<std::string>& context)
+    {
+        const json* at = &schema;
+        for (size_t i = 1; i < context.size(); i++) {
+            std::string name = context[i].substr(1, context[i].size() - 2);
+            if (at->contains("properties") && (*at)["properties"].contains(name))
+                at = &(*at)["properties"][name];
+            else if (at->contains("items"))
+                at = &(*at)["items"];
+            else
+                return nullptr;
+        }
+        return at;
+    }
+
+    std::string ruleOf(const json& rules)
+    {
+        if (rules.contains("enum"))
+            return "must be one of " + rules["enum"].dump();
+        std::string out = "must be of type " + rules.value("type", std::string("any"));
+        if (rules.contains("minimum"))
+            out += ", at least " + rules["minimum"].dump();
+        if (rules.contains("maximum"))
+            out += ", at most " + rules["maximum"].dump();
+        if (rules.contains("pattern"))
+            out += ", matching " + rules["pattern"].get<std::string>();
+        if (rules.contains("minLength"))
+            out += ", at least " + rules["minLength"].dump() + " characters";
+        if (rules.contains("maxLength"))
+            out += ", at most " + rules["maxLength"].dump() + " characters";
+        return out;
+    }
+
+    std::string show(const json& value)
+    {
+        return value.dump(-1, ' ', true, json::error_handler_t::replace).substr(0, maxValueLength);
+    }
+
+    class fault_collector {
+    public:
+        fault_collector(const json& document, const json& schema)
+            : m_document(document)
+            , m_schema(schema)
+        {
+        }
+
+        void add(const std::vector<std::string>& context)
+        {
+            const json* rules = schemaAt(m_schema, context);
+            auto pointer = pointerFrom(context);
+            if (!rules || !m_document.contains(pointer))
+                return;
+            const json& value = m_document[pointer];
+            bool whole = value.is_object() && rules->value("type", "") == "object";
+            if (whole)
+                addMembers(pointer.to_string(), value, *rules);
+            else
+                put({ pointer.to_string().empty() ? "/" : pointer.to_string(), show(value), ruleOf(*rules) });
+        }
+
+        std::vector<field_error> take() { return std::move(m_faults); }
+
+    private:
+        // What is missing from, or unknown in, an object.
+        void addMembers(const std::string& path, const json& value, const json& rules)
+        {
+            for (const auto& name : rules.value("required", json::array())) {
+                if (!value.contains(name.get<std::string>()))
+                    put({ path + "/" + name.get<std::string>(), "missing", "is required" });
+            }
+            for (const auto& [name, item] : value.items()) {
+                if (!rules["properties"].contains(name))
+                    put({ path + "/" + name, show(item), "is not a known field" });
+            }
+        }
+
+        void put(field_error fault)
+        {
+            for (const auto& known : m_faults) {
+                if (known == fault)
+                    return;
+            }
+            m_faults.push_back(std::move(fault));
+        }
+
+        const json& m_document;
+        const json& m_schema;
+        std::vector<field_error> m_faults;
+    };
+
+} // namespace
+
+std::vector<field_error> checkSchema(const json& document, const json& schema)
+{
+    valijson::Schema parsed;
+    valijson::SchemaParser parser;
+    valijson::adapters::NlohmannJsonAdapter schemaAdapter(schema);
+    parser.populateSchema(schemaAdapter, parsed);
+    valijson::Validator validator(valijson::Validator::kStrongTypes);
+    valijson::adapters::NlohmannJsonAdapter target(document);
+    valijson::ValidationResults results;
+    if (validator.validate(parsed, target, &results))
+        return {};
+    fault_collector collector(document, schema);
+    valijson::ValidationResults::Error error;
+    while (results.popError(error))
+        collector.add(error.context);
+    auto faults = collector.take();
+    if (faults.empty())
+        faults.push_back({ "/", show(document), ruleOf(schema) });
+    return faults;
+}
+
+json withDefaults(const json& document, const json& schema)
+{
+    json out = document;
+    if (out.is_array() && schema.contains("items")) {
+        for (auto& item : out)
+            item = withDefaults(item, schema["items"]);
+        return out;
+    }
+    if (!out.is_object() || !schema.contains("properties"))
+        return out;
+    for (const auto& [name, rules] : schema["properties"].items()) {
+        if (!out.contains(name) && rules.contains("default"))
+            out[name] = rules["default"];
+        else if (!out.contains(name) && rules.value("type", "") == "object" && !rules.contains("required"))
+            out[name] = json::object();
+        if (out.contains(name))
+            out[name] = withDefaults(out[name], rules);
+    }
+    return out;
+}
+
+} // namespace camphorwell
