Randomised worlds with an independent observer; the faults they found

Traces gave one cause each: a restarted or moved-on holder refused a repeated start that had run; a refusal counted for every send of a request; cancelled work that had run was answered ran: no; a worker that restarted between two holders left its task to nobody; the fold forgot ended work before a late opening record; tokens of two proposers shared one counter.

Change: a holder answers repetitions before it looks at the view, refusals carry the incarnation, every send has an id of its own, placed work is doubted under each new view until reported, the log's outcome outranks a stale item.

--- a/src/base/base.h
+++ b/src/base/base.h
@@ -73,6 +73,7 @@
     X(home_unreachable, refusal, 503, true, no, "the key's home data centre cannot be reached")              \
     X(too_many_waiters, refusal, 503, true, no, "too many requests wait for the same key")                   \
     X(cancelled, refusal, 410, false, no, "the work was cancelled before it finished")                       \
+    X(stopped, refusal, 410, false, yes, "the work was cancelled while it ran")                              \
     X(outcome_unknown, refusal, 504, false, unknown, "the work was started and its outcome is not known")    \
     X(task_failed, refusal, 502, false, yes, "the task ran and failed")                                      \
     X(version_conflict, refusal, 412, false, no, "the catalogue entry has a newer version than the base")    \
--- a/src/coordination/process/holder.cpp
+++ b/src/coordination/process/holder.cpp
@@ -97,7 +97,8 @@
     const view_id& id = m_members.promised().id;
     uint64_t proposer = stableHash(id.proposer) & 0xffff;
     uint64_t base = (id.number << numberShift) | (proposer << proposerShift);
-    m_tokenFloor = std::max(m_tokenFloor, base) + 1;
+    bool sameView = (m_tokenFloor >> proposerShift) == (base >> proposerShift);
+    m_tokenFloor = (sameView ? m_tokenFloor : base) + 1;
     CAMPHORWELL_INVARIANT(m_tokenFloor >> proposerShift == base >> proposerShift, "tokens of a view ran out");
     return m_tokenFloor;
 }
@@ -170,6 +171,7 @@
     record.retake = false;
     record.leaseEnds = ends;
     record.capacity = reply->capacity;
+    record.leaving = reply->leaving;
     if (fresh)
         record.seq = 0;
     adopt(record, *reply, fresh);
@@ -354,7 +356,7 @@
     if (m_context.has(fault::leaving_still_used))
         return record.usable && record.lease == lease_state::held;
     return record.usable && record.lease == lease_state::held && m_members.isListed(record.id)
-        && !m_members.workerLeaving(record.id) && m_context.now >= record.quarantinedUntil;
+        && !record.leaving && !m_members.workerLeaving(record.id) && m_context.now >= record.quarantinedUntil;
 }
 
 holder::worker_record* holder::choose(const work& wanted)
@@ -416,13 +418,15 @@
 void holder::onStart(const instance_id& from, const start_work& start)
 {
     const work& wanted = start.work;
+    // A repeated start is answered by what became of the first, whatever the view is now.
+    if (answerRepeated(from, wanted))
+        return;
     bool sameView = start.id == m_members.promised().id && m_members.inView();
     if (!sameView && !m_context.has(fault::holder_ignores_view)) {
+        remember(wanted.id, wanted.attempt, true);
         m_context.send(from, start_refused { wanted.id, wanted.attempt, reason::retry_stale_view });
         return;
     }
-    if (answerRepeated(from, wanted))
-        return;
     worker_record* record = choose(wanted);
     if (!record) {
         if (wanted.urgent)
--- a/src/coordination/process/holder.h
+++ b/src/coordination/process/holder.h
@@ -62,6 +62,7 @@
         lease_state lease = lease_state::none;
         uint64_t token = 0;
         bool usable = false;
+        bool leaving = false; // By the worker's own word.
         bool wasHeld = false; // Held at least once and not taken by another since.
         bool retake = false; // Held under an earlier view; to be taken again.
         uint64_t askedToken = 0; // Token of the lease call under way.
--- a/src/coordination/process/node.cpp
+++ b/src/coordination/process/node.cpp
@@ -197,7 +197,7 @@
         }
         void operator()(const worker_confirmed& note) { self.workers.onConfirmed(from.id, note); }
         void operator()(const start_work& start) { self.workers.onStart(from.id, start); }
-        void operator()(const start_refused& refused) { self.work.onRefused(from.id, refused); }
+        void operator()(const start_refused& refused) { self.work.onRefused(from, refused); }
         void operator()(const task_update& update) { self.work.onUpdate(from.id, update); }
         void operator()(const task_update_kept& note) { self.workers.onUpdateKept(note); }
         void operator()(const stop_work& order) { self.workers.onStop(order); }
--- a/src/coordination/request/journal.cpp
+++ b/src/coordination/request/journal.cpp
@@ -9,6 +9,7 @@
 
     constexpr int64_t appendTimeoutMs = 3000; // After this the append is settled by reading back.
     constexpr int64_t readTimeoutMs = 3000;
+    constexpr int64_t freshPolls = 3; // Poll intervals for which a read counts as recent.
     constexpr int64_t appendRetryMs = 250; // Pause after a refused append.
 
     json toRecordJson(const work_record& record)
@@ -192,6 +193,12 @@
     return isOpening(record.kind) && !m_seenInFlight.count("sent " + record.recordId);
 }
 
+bool journal::fresh() const
+{
+    instant limit = milliseconds(m_context.options.logPollMs * freshPolls);
+    return m_lastEnd && m_context.now - *m_lastEnd < limit;
+}
+
 void journal::requestRecovery()
 {
     m_recovered = false;
@@ -216,10 +223,12 @@
     if (m_readCall == 0 && m_context.now >= m_nextRead) {
         m_readCounts = m_recoveryWanted;
         m_settleRead = m_settling;
+        m_firstReadSince = m_context.now;
         m_nextRead = m_context.now + m_context.jitter(m_context.options.logPollMs);
         startRead();
     }
-    instant keep = milliseconds(m_context.options.resultKeepMs);
+    // As long as the log keeps the outcome, so that an opening record that arrives late finds it.
+    instant keep = milliseconds(m_context.options.logRetentionMs);
     while (!m_ended.empty() && m_context.now - m_ended.front().first > keep) {
         m_states.erase(m_ended.front().second);
         m_ended.pop_front();
@@ -242,6 +251,7 @@
         startRead();
         return true;
     }
+    m_lastEnd = m_firstReadSince;
     if (m_readCounts && m_recoveryWanted) {
         m_recoveryWanted = false;
         m_recovered = true;
--- a/src/coordination/request/journal.h
+++ b/src/coordination/request/journal.h
@@ -46,6 +46,8 @@
     void requestRecovery();
     bool recovered() const { return m_recovered; }
     bool available() const { return m_available; }
+    // True when the stream was read to its end a short while ago.
+    bool fresh() const;
     // Ids of records that became durable, or were refused, since the last call.
     std::vector<std::pair<std::string, bool>> takeSettled();
     const durable_state* find(const work_id&) const;
@@ -72,6 +74,8 @@
     instant m_nextAppend { 0 };
     instant m_nextRead { 0 };
     instant m_readSince { 0 };
+    instant m_firstReadSince { 0 }; // Start of the first of the reads that reach the end.
+    std::optional<instant> m_lastEnd; // Start of the last reads that reached the end.
     int64_t m_cursor = 0;
     bool m_recovered = false;
     bool m_recoveryWanted = false;
--- a/src/coordination/request/ledger.cpp
+++ b/src/coordination/request/ledger.cpp
@@ -76,7 +76,7 @@
         auto* at = std::get_if<placed>(&it.phase);
         if (!at)
             continue;
-        at->doubted = !m_members.promised().contains(at->holder.id, at->holder.incarnation);
+        at->doubted = true;
         at->nextSend = m_context.now;
     }
     // The router sends the callers of these to their new owner.
@@ -118,6 +118,9 @@
 void ledger::submit(uint64_t ticket, const request& asked)
 {
     std::string hash = hashHex(asked.body);
+    const durable_state* recorded = m_journal.find(asked.id);
+    if (recorded && recorded->end && !m_kept.count(asked.id) && !m_items.count(asked.id))
+        keepFromLog(asked.id, *recorded);
     if (answerKept(ticket, asked.id, hash, true))
         return;
     auto found = m_items.find(asked.id);
@@ -166,7 +169,7 @@
             it.work.owner = versioned->entry.owner;
             it.work.urgent = versioned->entry.urgent;
         }
-        it.deadline = m_context.now + milliseconds(asked.deadlineMs);
+        setDeadline(it, m_context.now + milliseconds(asked.deadlineMs));
     }
     if (it.bodyHash != hashHex(asked.body)) {
         refuse(ticket, asked.id, reason::key_reused, "work " + asked.id + " was requested with another body");
@@ -184,7 +187,7 @@
     it.waiters.emplace_back(ticket, asked.respondAsync);
     m_ticketWork[ticket] = asked.id;
     if (!it.work.batch)
-        it.deadline = std::max(it.deadline, m_context.now + milliseconds(asked.deadlineMs));
+        setDeadline(it, std::max(it.deadline, m_context.now + milliseconds(asked.deadlineMs)));
     it.expired = false;
     if (it.durable && it.work.batch)
         acceptWaiters(it);
@@ -316,8 +319,9 @@
             m_context.send(at->holder.id, stop_work { it.work.id, it.work.attempt });
         return;
     }
-    m_deliver(ticket, refusedAnswer(asked.id, reason::cancelled, "cancelled before it ran"));
-    finish(it, refusedAnswer(asked.id, reason::cancelled, "cancelled by a request"), record_kind::cancelled);
+    answer out = cancelledAnswer(it);
+    m_deliver(ticket, out);
+    finish(it, out, record_kind::cancelled);
 }
 
 void ledger::forget(uint64_t ticket)
@@ -401,15 +405,13 @@
             overdue.push_back(id);
         keepYoung(it);
         auto* at = std::get_if<placed>(&it.phase);
-        if (!at || m_context.now < at->nextSend || at->doubted)
+        if (!at || m_context.now < at->nextSend)
             continue;
         at->nextSend = m_context.now + milliseconds(m_context.options.resendMs);
         if (it.cancelling)
             m_context.send(at->holder.id, stop_work { it.work.id, it.work.attempt });
-        if (!at->acknowledged && active(id)) {
-            it.work.deadlineMs = std::max<int64_t>((it.deadline - m_context.now).count() / 1000, 1);
-            m_context.send(at->holder.id, start_work { m_members.promised().id, it.work });
-        }
+        if (!at->acknowledged)
+            sendStart(it, *at);
     }
     for (const auto& id : overdue) {
         auto found = m_items.find(id);
@@ -423,7 +425,9 @@
 void ledger::keepYoung(item& it)
 {
     instant half = milliseconds(m_context.options.logRetentionMs / 2);
-    if (!it.durable || m_context.now - it.recordedAt < half)
+    bool due = it.durable && it.known && m_context.now - it.recordedAt >= half;
+    // Another owner may have ended the work; only one that has read the log to its end can tell.
+    if (!due || !active(it.work.id) || !m_journal.fresh())
         return;
     it.recordedAt = m_context.now;
     work_record record;
--- a/src/coordination/request/ledger.h
+++ b/src/coordination/request/ledger.h
@@ -28,7 +28,7 @@
     void dispatch();
     void onTaken(const instance_id& from, const worker_taken&);
     void onUpdate(const instance_id& from, const task_update&);
-    void onRefused(const instance_id& from, const start_refused&);
+    void onRefused(const member& from, const start_refused&);
     void onHeartbeat(const instance_id& from, const heartbeat&);
     void onJournal();
     // True when this instance may decide about `id` now.
@@ -56,7 +56,9 @@
         bool acknowledged = false; // The holder has said that it runs.
         instant nextSend { 0 };
         worker_id worker;
-        bool doubted = false; // The holder left the view; settled when the view is closed.
+        view_id view; // Under which the start was sent.
+        // Not reported under the promised view yet; when the view is closed, no worker has it.
+        bool doubted = false;
     };
     using phase_type = std::variant<recording, queued, placed>;
 
@@ -96,6 +98,7 @@
         int64_t slots = 0;
     };
 
+    void sendStart(item&, const placed&);
     std::optional<refusal> admit(const request&, const entry&) const;
     void submit(uint64_t ticket, const request&);
     void poll(uint64_t ticket, const request&);
@@ -106,6 +109,8 @@
     void refuse(uint64_t ticket, const work_id&, reason, const std::string& detail);
     bool needsRecovery(const work_id&) const;
     void setPhase(item&, phase_type);
+    // The queue is ordered by deadline, so a queued item is put in again.
+    void setDeadline(item&, instant);
     void enqueue(item&, instant notBefore, reason why);
     queue_key keyOf(const item&) const;
     void place(item&, const member& target);
@@ -118,12 +123,14 @@
     void resolveDoubt(item&);
     void absorb(const instance_id& from, const view_id& id, const task_report&);
     void onEnded(item&, const task_report&);
+    answer cancelledAnswer(const item&) const;
     void retry(item&, reason why, instant pause);
     void adoptUnknown(const instance_id& from, const task_report&);
     void keepUpdate(const instance_id& to, const task_report&);
     void createFromReport(const task_report&, bool journaled);
     item& createFromLog(const work_id&, const durable_state&);
     void keepFromLog(const work_id&, const durable_state&);
+    void endFromLog(item&, const durable_state&);
     void completeFromLog(item&, const durable_state&);
     void recover(const work_id&);
     void recoverAll();
--- a/src/coordination/request/ledger_outcomes.cpp
+++ b/src/coordination/request/ledger_outcomes.cpp
@@ -35,6 +35,16 @@
         m_placedCount++;
 }
 
+void ledger::setDeadline(item& it, instant deadline)
+{
+    bool waiting = std::holds_alternative<queued>(it.phase);
+    if (waiting)
+        m_queue.erase(keyOf(it));
+    it.deadline = deadline;
+    if (waiting)
+        m_queue.insert(keyOf(it));
+}
+
 void ledger::enqueue(item& it, instant notBefore, reason why) { setPhase(it, queued { notBefore, why }); }
 
 void ledger::onHeartbeat(const instance_id& from, const heartbeat& beat)
@@ -97,33 +107,41 @@
 {
     uint64_t base = m_members.promised().id.number << attemptShift;
     it.work.attempt = std::max(it.work.attempt, base) + 1;
-    it.work.deadlineMs = std::max<int64_t>((it.deadline - m_context.now).count() / 1000, 1);
     placed at;
     at.holder = target;
     at.nextSend = m_context.now + milliseconds(m_context.options.resendMs);
+    at.view = m_members.promised().id;
     setPhase(it, at);
     note(it, "start sent to " + target.id);
     if (target.id != m_context.options.self.id)
         m_hints[target.id].slots--;
-    m_context.send(target.id, start_work { m_members.promised().id, it.work });
+    sendStart(it, at);
+}
+
+// A repeated start keeps the view of the first: a holder that has moved on and does not know the attempt
+// refuses it, and the refusal is final.
+void ledger::sendStart(item& it, const placed& at)
+{
+    it.work.deadlineMs = std::max<int64_t>((it.deadline - m_context.now).count() / 1000, 1);
+    m_context.send(at.holder.id, start_work { at.view, it.work });
 }
 
-void ledger::onRefused(const instance_id& from, const start_refused& refused)
+void ledger::onRefused(const member& from, const start_refused& refused)
 {
     auto found = m_items.find(refused.id);
     if (found == m_items.end() || found->second.work.attempt != refused.attempt)
         return;
     item& it = found->second;
     auto* at = std::get_if<placed>(&it.phase);
-    if (!at || at->holder.id != from)
+    // A restarted holder does not know what its predecessor started.
+    if (!at || at->holder.id != from.id || at->holder.incarnation != from.incarnation)
         return;
     m_context.count(refused.why);
-    note(it, "refused by " + from + ": " + std::string(describe(refused.why).name));
-    if (refused.why == reason::no_room && from != m_context.options.self.id)
-        m_hints[from].slots = 0;
+    note(it, "refused by " + from.id + ": " + std::string(describe(refused.why).name));
+    if (refused.why == reason::no_room && from.id != m_context.options.self.id)
+        m_hints[from.id].slots = 0;
     if (it.cancelling) {
-        finish(it, refusedAnswer(refused.id, reason::cancelled, "cancelled by a request"),
-            record_kind::cancelled);
+        finish(it, cancelledAnswer(it), record_kind::cancelled);
         return;
     }
     enqueue(it, m_context.now + m_context.jitter(noRoomPauseMs), refused.why);
@@ -176,6 +194,7 @@
     }
     it.work.attempt = report.attempt;
     it.everStarted = true;
+    it.durable = true; // Whoever started it had its opening record in the log.
     if (report.state == task_state::running) {
         placed at;
         at.holder = { from, 0, false };
@@ -183,6 +202,8 @@
             at.holder = *m;
         at.acknowledged = true;
         at.worker = report.worker;
+        at.view = id;
+        at.doubted = id != m_members.promised().id;
         at.nextSend = m_context.now + milliseconds(m_context.options.resendMs);
         setPhase(it, at);
         return;
@@ -229,6 +250,7 @@
         at.acknowledged = true;
         if (const member* m = m_members.promised().find(from))
             at.holder = *m;
+        at.view = m_members.promised().id;
         setPhase(it, at);
     }
     absorb(from, m_members.promised().id, report);
@@ -285,7 +307,8 @@
     } else if (state.end->kind == record_kind::failed) {
         keep.answer.why = { reason::task_failed, "work " + id + " failed" };
     } else if (state.end->kind == record_kind::cancelled) {
-        keep.answer.why = { reason::cancelled, "work " + id + " was cancelled" };
+        // The record does not say whether an attempt had run before.
+        keep.answer.why = { reason::stopped, "work " + id + " was cancelled" };
     }
     m_kept[id] = std::move(keep);
     m_keptOrder.emplace_back(m_context.now, id);
@@ -318,7 +341,7 @@
         finish(it, out, record_kind::failed);
         return;
     case task_state::stopped:
-        out.why = { it.cancelling ? reason::cancelled : reason::outcome_unknown,
+        out.why = { it.cancelling ? reason::stopped : reason::outcome_unknown,
             "work " + id + " was stopped on worker " + report.worker };
         if (!it.cancelling && it.work.idempotent && it.known) {
             retry(it, reason::retry_worker_lost, m_context.jitter(retryPauseMs));
@@ -350,12 +373,19 @@
     }
 }
 
+// A cancelled piece of work ran if an earlier attempt did.
+answer ledger::cancelledAnswer(const item& it) const
+{
+    reason code = it.everStarted ? reason::stopped : reason::cancelled;
+    return refusedAnswer(it.work.id, code, "work " + it.work.id + " was cancelled by a request");
+}
+
 void ledger::retry(item& it, reason why, instant pause)
 {
     m_context.count(why);
     work_id id = it.work.id;
     if (it.cancelling) {
-        finish(it, refusedAnswer(id, reason::cancelled, "cancelled by a request"), record_kind::cancelled);
+        finish(it, cancelledAnswer(it), record_kind::cancelled);
         return;
     }
     // Without its body the work cannot run again; a caller who still wants it asks again.
@@ -426,17 +456,19 @@
         resolveDoubt(m_items.at(id));
 }
 
-// Every worker was taken under this view and none listed the attempt.
+// Every worker was taken under this view and none listed the attempt. A start that is still on its way
+// carries an earlier view and will be refused.
 void ledger::resolveDoubt(item& it)
 {
-    note(it, "its holder is gone and no worker has it");
+    note(it, "no worker has it");
     it.everStarted = true;
     if (it.work.idempotent || m_context.has(fault::rerun_unknown)) {
         retry(it, reason::retry_worker_lost, m_context.jitter(retryPauseMs));
         return;
     }
     work_id id = it.work.id;
-    finish(it, refusedAnswer(id, reason::outcome_unknown, "the holder of work " + id + " was lost"),
+    finish(it,
+        refusedAnswer(id, reason::outcome_unknown, "work " + id + " was lost with its worker or holder"),
         record_kind::unknown);
 }
 
@@ -503,6 +535,10 @@
     if (!mine || !state || state->first.work.id.empty() || m_kept.count(id))
         return;
     auto found = m_items.find(id);
+    if (found != m_items.end() && state->end) {
+        endFromLog(found->second, *state);
+        return;
+    }
     if (found != m_items.end()) {
         completeFromLog(found->second, *state);
         return;
@@ -521,6 +557,17 @@
         record_kind::unknown);
 }
 
+// Another owner has ended the work, under a view that this instance was not in.
+void ledger::endFromLog(item& it, const durable_state& state)
+{
+    work_id id = it.work.id;
+    if (const auto* at = std::get_if<placed>(&it.phase))
+        m_context.send(at->holder.id, stop_work { id, it.work.attempt });
+    keepFromLog(id, state);
+    answerWaiters(it, m_kept.at(id).answer);
+    eraseItem(id);
+}
+
 void ledger::completeFromLog(item& it, const durable_state& state)
 {
     if (it.known)
@@ -532,7 +579,7 @@
     it.work.owner = state.first.work.owner;
     it.work.urgent = state.first.work.urgent;
     it.bodyHash = state.first.bodyHash;
-    it.deadline = m_context.now + milliseconds(state.first.work.deadlineMs);
+    setDeadline(it, m_context.now + milliseconds(state.first.work.deadlineMs));
 }
 
 } // namespace camphorwell
--- a/src/coordination/request/router.cpp
+++ b/src/coordination/request/router.cpp
@@ -9,6 +9,8 @@
     constexpr int64_t unsettledPauseMs = 40; // Pause before an unsettled owner is asked again.
     constexpr int64_t deadlineGraceMs
         = 150; // The owner answers at the deadline; this allows for the way back.
+    constexpr int64_t refusedKeepMs = 30'000; // Refused forwards are remembered this long.
+    constexpr unsigned incarnationShift = 20; // Send ids of a restarted instance differ from earlier ones.
     constexpr uint8_t maxHops = 4;
     constexpr size_t maxPending = 20'000;
 
@@ -17,6 +19,7 @@
 router::router(context& shared, membership& members)
     : m_context(shared)
     , m_members(members)
+    , m_nextSend(shared.options.self.incarnation << incarnationShift)
 {
 }
 
@@ -39,11 +42,14 @@
     peer_origin source { from, sent.ticket };
     if (m_byPeer.count(source))
         return; // A repetition; the first is still under way.
+    auto refused = m_refused.find(source);
+    if (refused != m_refused.end()) {
+        m_context.send(from, forwarded_answer { sent.ticket, refused->second });
+        return;
+    }
     if (sent.request.hops >= maxHops || m_pending.size() >= maxPending) {
         reason code = sent.request.hops >= maxHops ? reason::owner_unsettled : reason::queue_full;
-        m_context.send(from,
-            forwarded_answer { sent.ticket,
-                refusedAnswer(sent.request.id, code, "at instance " + m_context.options.self.id) });
+        reply(source, refusedAnswer(sent.request.id, code, "at instance " + m_context.options.self.id));
         return;
     }
     add(source, sent.request);
@@ -98,30 +104,54 @@
         entry.nextTry = m_context.now + milliseconds(unsettledPauseMs);
         // Waiting does not bring back a cut-off data centre or an instance that is gone.
         if (remote || entry.lastRefusal == reason::unknown_work) {
-            bool possible = entry.left && entry.request.verb == verb::submit;
+            bool possible = entry.unresolved > 0 && entry.request.verb == verb::submit;
             reason code = possible ? reason::outcome_unknown : entry.lastRefusal;
             deliver(ticket, refusedAnswer(entry.request.id, code, "home of work " + entry.request.id));
         }
         return;
     }
+    bool repetition = entry.sendId != 0 && entry.target == target;
     entry.target = target;
     request onward = entry.request;
     onward.deadlineMs = std::max<int64_t>((entry.deadline - m_context.now).count() / 1000, 1);
+    if (!repetition) {
+        entry.unresolved++;
+        entry.sendId = 0;
+    }
     if (target == m_context.options.self.id) {
         m_ledger->onRequest(ticket, onward);
         return;
     }
-    entry.left = true;
+    if (!repetition) {
+        entry.sendId = m_nextSend++;
+        m_sends[entry.sendId] = ticket;
+        entry.sends.push_back(entry.sendId);
+    }
     onward.hops++;
-    m_context.send(target, forward { ticket, std::move(onward) });
+    m_context.send(target, forward { entry.sendId, std::move(onward) });
 }
 
-void router::onAnswer(const instance_id& from, const forwarded_answer& sent)
+void router::onAnswer(const instance_id&, const forwarded_answer& sent)
 {
-    auto found = m_pending.find(sent.ticket);
-    if (found == m_pending.end() || found->second.target != from)
+    auto send = m_sends.find(sent.ticket);
+    if (send == m_sends.end())
+        return;
+    uint64_t ticket = send->second;
+    m_sends.erase(send);
+    auto found = m_pending.find(ticket);
+    if (found == m_pending.end())
         return;
-    deliver(sent.ticket, sent.answer);
+    bool current = found->second.sendId == sent.ticket;
+    if (current)
+        found->second.sendId = 0;
+    bool notRun
+        = sent.answer.state == answer_state::refused && describe(sent.answer.why.code).ran == run_fact::no;
+    if (!current && notRun) {
+        // An earlier owner's refusal; the present one still decides.
+        found->second.unresolved--;
+        return;
+    }
+    deliver(ticket, sent.answer);
 }
 
 void router::deliver(uint64_t ticket, const answer& given)
@@ -130,19 +160,28 @@
     if (found == m_pending.end())
         return;
     pending& entry = found->second;
-    bool unsettled = given.state == answer_state::refused && given.why.code == reason::owner_unsettled;
-    bool local = std::holds_alternative<local_origin>(entry.origin);
-    if (unsettled && local && m_context.now < entry.deadline) {
+    bool refused = given.state == answer_state::refused;
+    bool notRun = refused && describe(given.why.code).ran == run_fact::no;
+    if (notRun && entry.unresolved > 0)
+        entry.unresolved--;
+    bool unsettled = refused && given.why.code == reason::owner_unsettled;
+    bool mayWait = std::holds_alternative<local_origin>(entry.origin) || entry.unresolved > 0;
+    if (unsettled && mayWait && m_context.now < entry.deadline) {
         m_context.count(reason::retry_forward);
         entry.lastRefusal = given.why.code;
         entry.nextTry = m_context.now + m_context.jitter(unsettledPauseMs);
         entry.target.clear();
         return;
     }
+    if (notRun && entry.unresolved > 0 && entry.request.verb == verb::submit) {
+        // This owner refused, but an earlier one may have run it.
+        answer unknown = refusedAnswer(given.id, reason::outcome_unknown, given.why.detail);
+        entry.unresolved = 0;
+        deliver(ticket, unknown);
+        return;
+    }
     origin_type source = entry.origin;
-    if (const auto* peer = std::get_if<peer_origin>(&source))
-        m_byPeer.erase(*peer);
-    m_pending.erase(found);
+    erase(ticket);
     reply(source, given);
 }
 
@@ -155,9 +194,33 @@
         return;
     }
     const auto& peer = std::get<peer_origin>(source);
+    if (given.state == answer_state::refused)
+        rememberRefused(peer, given);
     m_context.send(peer.from, forwarded_answer { peer.ticket, given });
 }
 
+void router::erase(uint64_t ticket)
+{
+    pending& entry = m_pending.at(ticket);
+    if (const auto* peer = std::get_if<peer_origin>(&entry.origin))
+        m_byPeer.erase(*peer);
+    for (uint64_t send : entry.sends)
+        m_sends.erase(send);
+    m_pending.erase(ticket);
+}
+
+void router::rememberRefused(const peer_origin& source, const answer& given)
+{
+    m_refused[source] = given;
+    m_refusedOrder.emplace_back(m_context.now, source);
+    while (!m_refusedOrder.empty()
+        && (m_context.now - m_refusedOrder.front().first > milliseconds(refusedKeepMs)
+            || m_refusedOrder.size() > maxPending)) {
+        m_refused.erase(m_refusedOrder.front().second);
+        m_refusedOrder.pop_front();
+    }
+}
+
 void router::onNewView()
 {
     std::vector<uint64_t> moved;
@@ -191,16 +254,14 @@
 {
     const pending& entry = m_pending.at(ticket);
     bool atOwner = entry.target == m_context.options.self.id;
-    bool mayRun = entry.request.verb == verb::submit && (entry.left || atOwner);
+    bool mayRun = entry.request.verb == verb::submit && entry.unresolved > 0;
     reason code = mayRun ? reason::outcome_unknown : entry.lastRefusal;
     if (atOwner)
         m_ledger->forget(ticket);
     std::string detail = "no answer for work " + entry.request.id + " before the deadline";
     answer out = refusedAnswer(entry.request.id, code, detail);
     origin_type source = entry.origin;
-    if (const auto* peer = std::get_if<peer_origin>(&source))
-        m_byPeer.erase(*peer);
-    m_pending.erase(ticket);
+    erase(ticket);
     reply(source, out);
 }
 
--- a/src/coordination/request/router.h
+++ b/src/coordination/request/router.h
@@ -2,8 +2,8 @@
 // answer back.
 //
 // A pending request knows where it was sent. It is sent again when the owner changes, the link breaks, or
-// no answer comes; the owner recognises the work by its id, so a repetition joins the first. Past the
-// deadline the caller gets `ran: no` when the request never left this instance and `ran: unknown` otherwise.
+// no answer comes; the owner recognises the work by its id, so a repetition joins the first. A caller
+// is told `ran: no` only when every owner that was given the request has definitely refused it.
 #pragma once
 
 #include "coordination/request/ledger.h"
@@ -47,7 +47,10 @@
         origin_type origin;
         camphorwell::request request;
         instance_id target;
-        bool left = false; // Sent to another instance at least once.
+        // Times it was handed to an owner without a definite refusal since; the work may run for each.
+        int unresolved = 0;
+        uint64_t sendId = 0; // The ticket under which it was last sent to another instance.
+        std::vector<uint64_t> sends; // All such tickets.
         instant deadline { 0 };
         instant nextTry { 0 };
         reason lastRefusal = reason::owner_unsettled;
@@ -62,6 +65,8 @@
     void route(uint64_t ticket);
     instance_id targetOf(const pending&) const;
     instance_id remoteTarget(const std::string& dataCentre, const work_id&) const;
+    void rememberRefused(const peer_origin&, const answer&);
+    void erase(uint64_t ticket);
     void reply(const origin_type&, const answer&);
     void expire(uint64_t ticket);
 
@@ -70,7 +75,12 @@
     ledger* m_ledger = nullptr;
     std::map<uint64_t, pending> m_pending;
     std::map<peer_origin, uint64_t> m_byPeer;
+    std::map<uint64_t, uint64_t> m_sends; // Own ticket by send id, for each send without an answer.
+    // Forwards that were refused, so that a repetition gets the same answer.
+    std::map<peer_origin, answer> m_refused;
+    std::deque<std::pair<instant, peer_origin>> m_refusedOrder;
     std::map<instance_id, remote_peer> m_remote;
+    uint64_t m_nextSend;
     uint64_t m_nextTicket = 1;
     uint64_t m_nextUnkeyed = 1;
 };
--- a/standins/models.cpp
+++ b/standins/models.cpp
@@ -14,6 +14,7 @@
     struct body_options {
         int64_t workMs = 0;
         bool fails = false;
+        int64_t number = 0; // Returned in the result, so that a caller can tell whose answer it got.
     };
 
     body_options parseBody(const std::string& body, bool batch)
@@ -25,6 +26,8 @@
             return out;
         if (source.contains("work_ms") && source["work_ms"].is_number_integer())
             out.workMs = std::clamp<int64_t>(source["work_ms"].get<int64_t>(), 0, 86'400'000);
+        if (source.contains("n") && source["n"].is_number_integer())
+            out.number = source["n"].get<int64_t>();
         out.fails = source.contains("fail") && source["fail"] == true;
         return out;
     }
@@ -72,6 +75,7 @@
     m_taskLeaseEnds = now + milliseconds(call.taskLeaseMs);
     worker_answer out;
     out.capacity = m_capacity;
+    out.leaving = m_leaving;
     out.maxToken = m_maxToken;
     out.seq = m_seq;
     for (const auto& [key, task] : m_tasks) {
@@ -130,6 +134,7 @@
     created.workMs = remaining;
     created.due = now + instant(static_cast<int64_t>(static_cast<double>(remaining) * 1000 * m_speed));
     created.fails = options.fails || m_failing;
+    created.number = options.number;
     created.historyIndex = m_history.size();
     m_history.push_back({ m_id, call.work.id, call.work.attempt, now, std::nullopt, task_state::running });
     advance(now);
@@ -198,7 +203,8 @@
         bool running = each.report.state == task_state::running;
         bool lapsed = now >= m_taskLeaseEnds;
         if (running && each.due <= now && each.due <= m_taskLeaseEnds) {
-            nlohmann::json result = { { "entry", each.report.entry }, { "ok", !each.fails } };
+            nlohmann::json result
+                = { { "entry", each.report.entry }, { "n", each.number }, { "ok", !each.fails } };
             finish(each.due, each, each.fails ? task_state::failed : task_state::done, result.dump());
         } else if (running && lapsed) {
             finish(m_taskLeaseEnds, each, task_state::lost, {});
--- a/standins/models.h
+++ b/standins/models.h
@@ -35,6 +35,7 @@
     void restart(instant now);
 
     void setSpeed(double factor) { m_speed = factor; } // Run times are multiplied by this.
+    void setLeaving(bool leaving) { m_leaving = leaving; }
     void setFailing(bool failing) { m_failing = failing; } // Every task fails.
     const std::vector<run_record>& history() const { return m_history; }
     const worker_id& id() const { return m_id; }
@@ -49,6 +50,7 @@
         uint64_t seq = 0;
         size_t historyIndex = 0;
         bool fails = false;
+        int64_t number = 0;
         int64_t workMs = 0;
     };
     worker_answer on(instant now, const lease_call&);
@@ -71,6 +73,7 @@
     uint64_t m_seq = 0;
     double m_speed = 1.0;
     bool m_failing = false;
+    bool m_leaving = false;
     std::map<std::pair<work_id, uint64_t>, task> m_tasks;
     std::vector<task_report> m_ended;
     std::vector<run_record> m_history;
--- /dev/null
+++ b/tests/sim/observer.h
@@ -0,0 +1,45 @@
+// The independent observer: what each caller was told against what each worker really ran.
+#pragma once
+
+#include "tests/sim/world.h"
+
+namespace camphorwell::sim {
+
+// One request as its caller saw it.
+struct request_record {
+    int64_t number = 0;
+    camphorwell::verb verb = verb::submit;
+    bool pollOnly = false;
+    work_id id;
+    entry_name entry;
+    std::string body;
+    bool batch = false;
+    bool idempotent = true;
+    int64_t deadlineMs = 0;
+    instant sentAt { 0 };
+    bool paused = false; // Its instance was paused meanwhile, so its answer may be late.
+    bool answered = false;
+    instant answeredAt { 0 };
+    camphorwell::answer answer;
+};
+
+class observer {
+public:
+    void add(const request_record& record) { m_requests.push_back(record); }
+    void workerRestarted(const worker_id& id, instant localTime) { m_restarts[id].push_back(localTime); }
+    void setRate(std::function<instant(const worker_id&, instant)> toTrue) { m_toTrue = std::move(toTrue); }
+    void check(std::vector<run_record> runs, world_report&);
+
+private:
+    using run_list = std::vector<run_record>;
+    void checkRuns(const work_id&, const run_list&, bool idempotent, world_report&) const;
+    void checkAnswers(
+        const work_id&, const std::vector<const request_record*>&, const run_list&, world_report&) const;
+    bool restartedAfter(const worker_id&, instant trueTime) const;
+
+    std::vector<request_record> m_requests;
+    std::map<worker_id, std::vector<instant>> m_restarts;
+    std::function<instant(const worker_id&, instant)> m_toTrue;
+};
+
+} // namespace camphorwell::sim
