--- a/src/coordination/coordination.h
+++ b/src/coordination/coordination.h
@@ -249,6 +249,7 @@
     resources capacity; // With a granted lease.
     uint64_t seq = 0; // With a granted lease: the highest sequence number reported.
     uint64_t maxToken = 0; // The highest token the worker has granted.
+    uint64_t boot = 0; // Differs after each restart of the worker, which forgets its tasks.
     bool leaving = false; // The worker's own word, with a granted lease.
     std::vector<task_report> tasks;
 };
--- a/src/coordination/process/holder.cpp
+++ b/src/coordination/process/holder.cpp
@@ -271,7 +271,10 @@
 {
     if (fresh) {
         // Nothing sent under an earlier token can start any more, so what the worker does not list is not
-        // there: a start in doubt never happened, and a task that ran was dropped.
+        // there: a start in doubt never happened, and a task that ran was dropped. A worker that restarted
+        // may have run the one as well.
+        bool restarted = record.boot != 0 && record.boot != reply.boot;
+        record.boot = reply.boot;
         std::set<std::pair<work_id, uint64_t>> listed;
         for (const auto& report : reply.tasks)
             listed.emplace(report.id, report.attempt);
@@ -282,7 +285,7 @@
         }
         for (const auto& id : absent) {
             task& held = record.tasks[id];
-            if (held.phase == task_phase::running)
+            if (held.phase == task_phase::running || restarted)
                 end(record, held, task_state::lost);
             else
                 neverStarted(record, id);
--- a/src/coordination/process/holder.h
+++ b/src/coordination/process/holder.h
@@ -72,6 +72,7 @@
         instant asked { 0 };
         uint64_t leaseCall = 0;
         uint64_t seq = 0;
+        uint64_t boot = 0;
         std::set<instance_id> confirmedBy;
         view_id takenUnder;
         resources capacity;
--- a/src/coordination/process/node.cpp
+++ b/src/coordination/process/node.cpp
@@ -88,7 +88,7 @@
     }
     sendHeartbeats();
     workers.onTick();
-    log.onTick();
+    log.onTick([this](const work_id& id) { return work.owns(id); });
     const auto& view = members.promised();
     entries.onTick(members.inView() && view.members.front().id == shared.options.self.id);
     work.onTick();
@@ -157,7 +157,7 @@
     } else if (const auto* sent = std::get_if<forward>(&given.message)) {
         requests.onForward(given.from.id, *sent);
     } else if (const auto* back = std::get_if<forwarded_answer>(&given.message)) {
-        requests.onAnswer(given.from.id, *back);
+        requests.onAnswer(given.from, *back);
     } else if (const auto* update = std::get_if<catalogue_update>(&given.message)) {
         entries.onUpdate(*update);
     }
@@ -202,7 +202,7 @@
         void operator()(const task_update_kept& note) { self.workers.onUpdateKept(note); }
         void operator()(const stop_work& order) { self.workers.onStop(order); }
         void operator()(const forward& sent) { self.requests.onForward(from.id, sent); }
-        void operator()(const forwarded_answer& back) { self.requests.onAnswer(from.id, back); }
+        void operator()(const forwarded_answer& back) { self.requests.onAnswer(from, back); }
         void operator()(const catalogue_update& update) { self.entries.onUpdate(update); }
     };
     std::visit(visitor { *this, from }, body);
--- a/src/coordination/request/journal.cpp
+++ b/src/coordination/request/journal.cpp
@@ -213,8 +213,9 @@
     m_context.out.push_back(read_action { m_readCall, m_stream, m_cursor });
 }
 
-void journal::onTick()
+void journal::onTick(const std::function<bool(const work_id&)>& owns)
 {
+    keepYoung(owns);
     if (m_appendCall != 0 && m_context.now - m_appendSince > milliseconds(appendTimeoutMs))
         onAppended({ m_appendCall, append_status::unknown });
     appendNext();
@@ -235,6 +236,26 @@
     }
 }
 
+// Appends the opening records of unfinished work again well before the log forgets them, active owner or
+// not. Another owner may have ended the work, so only a recent reading to the end counts.
+void journal::keepYoung(const std::function<bool(const work_id&)>& owns)
+{
+    if (m_context.now < m_nextYoung || !fresh() || !m_available)
+        return;
+    m_nextYoung = m_context.now + milliseconds(m_context.options.logPollMs);
+    instant half = milliseconds(m_context.options.logRetentionMs / 2);
+    for (auto& [id, state] : m_states) {
+        bool due = !state.end && !state.first.work.id.empty() && m_context.now - state.youngAt >= half;
+        if (!due || !owns(id))
+            continue;
+        state.youngAt = m_context.now;
+        work_record again = state.first;
+        again.work.attempt = state.attempt;
+        again.work.checkpoint = state.checkpoint;
+        add(std::move(again));
+    }
+}
+
 bool journal::onRead(const read_reply& reply)
 {
     if (reply.call != m_readCall || m_readCall == 0)
@@ -292,9 +313,11 @@
         }
     }
     auto& state = m_states[record->work.id];
-    state.readAt = m_context.now;
     state.attempt = std::max(state.attempt, record->work.attempt);
     if (isOpening(record->kind)) {
+        // Of a record met in the first reading nobody knows the age.
+        instant half = milliseconds(m_context.options.logRetentionMs / 2);
+        state.youngAt = m_lastEnd ? m_context.now : m_context.now - half;
         if (state.first.work.id.empty())
             state.first = *record;
         if (!record->work.checkpoint.empty())
--- a/src/coordination/request/journal.h
+++ b/src/coordination/request/journal.h
@@ -29,7 +29,7 @@
     std::string checkpoint;
     std::optional<work_record> end; // Its outcome, if any.
     uint64_t attempt = 0; // The highest attempt recorded.
-    instant readAt { 0 };
+    instant youngAt { 0 }; // When its opening record was last known to be new.
 };
 
 class journal {
@@ -38,7 +38,8 @@
 
     // Queues a record and returns its id.
     std::string add(work_record);
-    void onTick();
+    // `owns` says whether this instance is the owner of a piece of work.
+    void onTick(const std::function<bool(const work_id&)>& owns);
     // Both return false when the call is not the journal's.
     bool onAppended(const append_reply&);
     bool onRead(const read_reply&);
@@ -62,6 +63,7 @@
     void startRead();
     void fold(const std::string& data);
     void finishSettling();
+    void keepYoung(const std::function<bool(const work_id&)>& owns);
     bool mayGiveUp(const work_record&) const;
 
     context& m_context;
@@ -75,6 +77,7 @@
     instant m_nextRead { 0 };
     instant m_readSince { 0 };
     instant m_firstReadSince { 0 }; // Start of the first of the reads that reach the end.
+    instant m_nextYoung { 0 };
     std::optional<instant> m_lastEnd; // Start of the last reads that reached the end.
     int64_t m_cursor = 0;
     bool m_recovered = false;
--- a/src/coordination/request/ledger.cpp
+++ b/src/coordination/request/ledger.cpp
@@ -35,9 +35,14 @@
 
 // ---- Who decides -----------------------------------------------------------------------------------------
 
+bool ledger::owns(const work_id& id) const
+{
+    return m_members.inView() && m_members.promised().ownerOfWork(id) == m_context.options.self.id;
+}
+
 bool ledger::active(const work_id& id) const
 {
-    if (!m_members.inView() || m_members.promised().ownerOfWork(id) != m_context.options.self.id)
+    if (!owns(id))
         return false;
     if (!isKeyed(id))
         return true;
@@ -83,7 +88,8 @@
     for (const auto& id : lost)
         eraseItem(id);
     for (auto it = m_kept.begin(); it != m_kept.end();) {
-        bool mine = m_members.promised().ownerOfWork(it->first) == self;
+        // An outcome on its way to the log still counts, should this instance become the owner again.
+        bool mine = m_members.promised().ownerOfWork(it->first) == self || !it->second.recordId.empty();
         it = mine ? std::next(it) : m_kept.erase(it);
     }
 }
@@ -152,6 +158,11 @@
         refuse(ticket, id, reason::key_reused, "work " + id + " was requested with another body");
         return true;
     }
+    if (!kept->second.waiters.empty() && kept->second.waiters.size() < m_context.options.maxWaiters) {
+        kept->second.waiters.emplace_back(ticket, false);
+        m_ticketWork[ticket] = id;
+        return true;
+    }
     m_deliver(ticket, kept->second.answer);
     return true;
 }
@@ -319,9 +330,9 @@
             m_context.send(at->holder.id, stop_work { it.work.id, it.work.attempt });
         return;
     }
-    answer out = cancelledAnswer(it);
-    m_deliver(ticket, out);
-    finish(it, out, record_kind::cancelled);
+    it.waiters.emplace_back(ticket, false);
+    m_ticketWork[ticket] = asked.id;
+    finish(it, cancelledAnswer(it), record_kind::cancelled);
 }
 
 void ledger::forget(uint64_t ticket)
@@ -403,7 +414,6 @@
     for (auto& [id, it] : m_items) {
         if (!it.work.batch && !it.expired && it.known && m_context.now >= it.deadline)
             overdue.push_back(id);
-        keepYoung(it);
         auto* at = std::get_if<placed>(&it.phase);
         if (!at || m_context.now < at->nextSend)
             continue;
@@ -421,22 +431,6 @@
     trimKept();
 }
 
-// Records accepted work again well before the log forgets it.
-void ledger::keepYoung(item& it)
-{
-    instant half = milliseconds(m_context.options.logRetentionMs / 2);
-    bool due = it.durable && it.known && m_context.now - it.recordedAt >= half;
-    // Another owner may have ended the work; only one that has read the log to its end can tell.
-    if (!due || !active(it.work.id) || !m_journal.fresh())
-        return;
-    it.recordedAt = m_context.now;
-    work_record record;
-    record.kind = it.work.batch ? record_kind::accept : record_kind::intent;
-    record.work = it.work;
-    record.bodyHash = it.bodyHash;
-    m_journal.add(std::move(record));
-}
-
 void ledger::trimKept()
 {
     instant keep = milliseconds(m_context.options.resultKeepMs);
--- a/src/coordination/request/ledger.h
+++ b/src/coordination/request/ledger.h
@@ -33,6 +33,8 @@
     void onJournal();
     // True when this instance may decide about `id` now.
     bool active(const work_id& id) const;
+    // True when this instance is the owner in the promised view, active or not.
+    bool owns(const work_id& id) const;
     // Called before every event, after the leases were checked.
     void checkTenure();
 
@@ -75,7 +77,6 @@
         uint32_t failures = 0;
         instant created { 0 };
         instant deadline { 0 };
-        instant recordedAt { 0 };
         std::vector<std::pair<uint64_t, bool>> waiters; // Ticket, and whether `accepted` suffices.
         std::vector<std::string> history; // For explain; bounded.
     };
@@ -86,6 +87,7 @@
         std::string recordId; // Not empty while the outcome is on its way to the log.
         uint64_t attempt = 0;
         instant at { 0 };
+        std::vector<std::pair<uint64_t, bool>> waiters; // Answered when the outcome is in the log.
     };
     struct queue_key {
         int rank = 0; // Urgent work first.
@@ -139,7 +141,6 @@
     int64_t shareOf(int64_t limit) const;
     void eraseItem(const work_id&);
     void trimKept();
-    void keepYoung(item&);
 
     context& m_context;
     membership& m_members;
--- a/src/coordination/request/ledger_outcomes.cpp
+++ b/src/coordination/request/ledger_outcomes.cpp
@@ -93,6 +93,13 @@
         if (found == m_items.end() || !std::holds_alternative<queued>(found->second.phase))
             continue;
         item& it = found->second;
+        uint64_t placedUnder = it.work.attempt >> attemptShift;
+        if (placedUnder > m_members.promised().id.number) {
+            // The log or a report names an attempt of a later view, so this owner has been replaced.
+            m_members.sawNumber(placedUnder);
+            std::get<queued>(it.phase).notBefore = m_context.now + milliseconds(retryPauseMs);
+            continue;
+        }
         auto target = chooseHolder(it);
         if (!target) {
             std::get<queued>(it.phase).notBefore = m_context.now + milliseconds(noRoomPauseMs);
@@ -169,7 +176,7 @@
 
 void ledger::absorb(const instance_id& from, const view_id& id, const task_report& report)
 {
-    if (!m_members.inView() || m_members.promised().ownerOfWork(report.id) != m_context.options.self.id)
+    if (!owns(report.id))
         return;
     auto kept = m_kept.find(report.id);
     if (kept != m_kept.end()) {
@@ -203,7 +210,9 @@
         at.acknowledged = true;
         at.worker = report.worker;
         at.view = id;
-        at.doubted = id != m_members.promised().id;
+        // A holder of another view cannot remove a doubt of this one, nor raise one.
+        const auto* before = std::get_if<placed>(&it.phase);
+        at.doubted = before && before->doubted && id != m_members.promised().id;
         at.nextSend = m_context.now + milliseconds(m_context.options.resendMs);
         setPhase(it, at);
         return;
@@ -283,7 +292,6 @@
     it.durable = true;
     it.everStarted = true;
     it.created = m_context.now;
-    it.recordedAt = m_context.now;
     it.deadline = m_context.now + milliseconds(it.work.deadlineMs);
     it.phase = recording {};
     m_entryCounts[it.work.entry]++;
@@ -415,7 +423,12 @@
         keep.recordId = m_journal.add(std::move(record));
         m_records[keep.recordId] = id;
     }
-    answerWaiters(it, out);
+    // A cancellation is only true once the log has it: another owner could still run the work.
+    if (kind == record_kind::cancelled && !keep.recordId.empty() && it.work.batch)
+        keep.waiters = std::move(it.waiters);
+    else
+        answerWaiters(it, out);
+    it.waiters.clear();
     eraseItem(id);
     // Work that was refused unrun leaves no trace, so that a retry with the same key may run.
     bool refusedUnrun = !keep.recordId.empty() ? false : describe(out.why.code).ran == run_fact::no;
@@ -486,8 +499,16 @@
         work_id id = found->second;
         m_records.erase(found);
         auto kept = m_kept.find(id);
-        if (kept != m_kept.end() && kept->second.recordId == recordId)
+        if (kept != m_kept.end() && kept->second.recordId == recordId) {
             kept->second.recordId.clear();
+            auto waiters = std::move(kept->second.waiters);
+            kept->second.waiters.clear();
+            answer out = kept->second.answer;
+            for (const auto& [ticket, async] : waiters) {
+                m_ticketWork.erase(ticket);
+                m_deliver(ticket, out);
+            }
+        }
         auto it = m_items.find(id);
         if (it == m_items.end())
             continue;
@@ -501,7 +522,6 @@
             continue;
         }
         it->second.durable = true;
-        it->second.recordedAt = m_context.now;
         note(it->second, "recorded");
         enqueue(it->second, m_context.now, reason::no_room);
         if (it->second.work.batch)
@@ -530,9 +550,8 @@
 
 void ledger::recover(const work_id& id)
 {
-    bool mine = m_members.promised().ownerOfWork(id) == m_context.options.self.id;
     const durable_state* state = m_journal.find(id);
-    if (!mine || !state || state->first.work.id.empty() || m_kept.count(id))
+    if (!owns(id) || !state || state->first.work.id.empty() || m_kept.count(id))
         return;
     auto found = m_items.find(id);
     if (found != m_items.end() && state->end) {
@@ -574,7 +593,6 @@
         return;
     it.known = true;
     it.durable = true;
-    it.recordedAt = m_context.now;
     it.work.body = state.first.work.body;
     it.work.owner = state.first.work.owner;
     it.work.urgent = state.first.work.urgent;
--- a/src/coordination/request/router.cpp
+++ b/src/coordination/request/router.cpp
@@ -9,7 +9,7 @@
     constexpr int64_t unsettledPauseMs = 40; // Pause before an unsettled owner is asked again.
     constexpr int64_t deadlineGraceMs
         = 150; // The owner answers at the deadline; this allows for the way back.
-    constexpr int64_t refusedKeepMs = 30'000; // Refused forwards are remembered this long.
+    constexpr int64_t answeredKeepMs = 120'000; // Answered forwards are remembered this long.
     constexpr unsigned incarnationShift = 20; // Send ids of a restarted instance differ from earlier ones.
     constexpr uint8_t maxHops = 4;
     constexpr size_t maxPending = 20'000;
@@ -34,7 +34,7 @@
     request asked = given.request;
     if (asked.id.empty())
         asked.id = unkeyedWorkId(m_context.options.dataCentre, m_context.options.self, m_nextUnkeyed++);
-    add(local_origin { given.ticket }, std::move(asked));
+    add(local_origin { given.ticket }, std::move(asked), 0);
 }
 
 void router::onForward(const instance_id& from, const forward& sent)
@@ -42,9 +42,9 @@
     peer_origin source { from, sent.ticket };
     if (m_byPeer.count(source))
         return; // A repetition; the first is still under way.
-    auto refused = m_refused.find(source);
-    if (refused != m_refused.end()) {
-        m_context.send(from, forwarded_answer { sent.ticket, refused->second });
+    auto answered = m_answered.find(source);
+    if (answered != m_answered.end() && answered->second) {
+        m_context.send(from, forwarded_answer { sent.ticket, *answered->second });
         return;
     }
     if (sent.request.hops >= maxHops || m_pending.size() >= maxPending) {
@@ -52,14 +52,15 @@
         reply(source, refusedAnswer(sent.request.id, code, "at instance " + m_context.options.self.id));
         return;
     }
-    add(source, sent.request);
+    add(source, sent.request, answered != m_answered.end() ? 1 : 0);
 }
 
-void router::add(origin_type source, request asked)
+void router::add(origin_type source, request asked, int unresolved)
 {
     uint64_t ticket = m_nextTicket++;
     pending& entry = m_pending[ticket];
     entry.origin = source;
+    entry.unresolved = unresolved;
     entry.request = std::move(asked);
     entry.deadline = m_context.now + milliseconds(entry.request.deadlineMs);
     if (const auto* peer = std::get_if<peer_origin>(&source))
@@ -110,7 +111,9 @@
         }
         return;
     }
-    bool repetition = entry.sendId != 0 && entry.target == target;
+    auto last = m_sends.find(entry.sendId);
+    bool repetition = last != m_sends.end() && entry.target == target
+        && last->second.incarnation == incarnationOf(target);
     entry.target = target;
     request onward = entry.request;
     onward.deadlineMs = std::max<int64_t>((entry.deadline - m_context.now).count() / 1000, 1);
@@ -124,34 +127,41 @@
     }
     if (!repetition) {
         entry.sendId = m_nextSend++;
-        m_sends[entry.sendId] = ticket;
+        m_sends[entry.sendId] = { ticket, incarnationOf(target) };
         entry.sends.push_back(entry.sendId);
     }
     onward.hops++;
     m_context.send(target, forward { entry.sendId, std::move(onward) });
 }
 
-void router::onAnswer(const instance_id&, const forwarded_answer& sent)
+void router::onAnswer(const member& from, const forwarded_answer& sent)
 {
     auto send = m_sends.find(sent.ticket);
     if (send == m_sends.end())
         return;
-    uint64_t ticket = send->second;
-    m_sends.erase(send);
-    auto found = m_pending.find(ticket);
+    send_record sentAs = send->second;
+    auto found = m_pending.find(sentAs.ticket);
     if (found == m_pending.end())
         return;
-    bool current = found->second.sendId == sent.ticket;
-    if (current)
-        found->second.sendId = 0;
+    pending& entry = found->second;
     bool notRun
         = sent.answer.state == answer_state::refused && describe(sent.answer.why.code).ran == run_fact::no;
+    bool current = entry.sendId == sent.ticket;
+    if (current)
+        entry.sendId = 0;
+    if (notRun && from.incarnation != sentAs.incarnation) {
+        // A restarted instance does not know what its predecessor did with the request.
+        entry.target.clear();
+        entry.nextTry = m_context.now + milliseconds(unsettledPauseMs);
+        return;
+    }
+    m_sends.erase(send);
     if (!current && notRun) {
         // An earlier owner's refusal; the present one still decides.
-        found->second.unresolved--;
+        entry.unresolved--;
         return;
     }
-    deliver(ticket, sent.answer);
+    deliver(sentAs.ticket, sent.answer);
 }
 
 void router::deliver(uint64_t ticket, const answer& given)
@@ -194,8 +204,7 @@
         return;
     }
     const auto& peer = std::get<peer_origin>(source);
-    if (given.state == answer_state::refused)
-        rememberRefused(peer, given);
+    rememberAnswered(peer, given);
     m_context.send(peer.from, forwarded_answer { peer.ticket, given });
 }
 
@@ -209,15 +218,25 @@
     m_pending.erase(ticket);
 }
 
-void router::rememberRefused(const peer_origin& source, const answer& given)
+uint64_t router::incarnationOf(const instance_id& id) const
+{
+    auto remote = m_remote.find(id);
+    if (remote != m_remote.end())
+        return remote->second.incarnation;
+    const member* local = m_members.promised().find(id);
+    return local ? local->incarnation : 0;
+}
+
+void router::rememberAnswered(const peer_origin& source, const answer& given)
 {
-    m_refused[source] = given;
-    m_refusedOrder.emplace_back(m_context.now, source);
-    while (!m_refusedOrder.empty()
-        && (m_context.now - m_refusedOrder.front().first > milliseconds(refusedKeepMs)
-            || m_refusedOrder.size() > maxPending)) {
-        m_refused.erase(m_refusedOrder.front().second);
-        m_refusedOrder.pop_front();
+    bool refused = given.state == answer_state::refused && describe(given.why.code).ran == run_fact::no;
+    m_answered[source] = refused ? std::optional<answer>(given) : std::nullopt;
+    m_answeredOrder.emplace_back(m_context.now, source);
+    while (!m_answeredOrder.empty()
+        && (m_context.now - m_answeredOrder.front().first > milliseconds(answeredKeepMs)
+            || m_answeredOrder.size() > maxPending)) {
+        m_answered.erase(m_answeredOrder.front().second);
+        m_answeredOrder.pop_front();
     }
 }
 
@@ -247,7 +266,7 @@
 
 void router::onRemoteHeard(const std::string& dataCentre, const member& from, const heartbeat& beat)
 {
-    m_remote[from.id] = { dataCentre, m_context.now, beat.catalogueNext };
+    m_remote[from.id] = { from.incarnation, dataCentre, m_context.now, beat.catalogueNext };
 }
 
 void router::expire(uint64_t ticket)
--- a/src/coordination/request/router.h
+++ b/src/coordination/request/router.h
@@ -29,7 +29,7 @@
 
     void onSubmission(const submission&);
     void onForward(const instance_id& from, const forward&);
-    void onAnswer(const instance_id& from, const forwarded_answer&);
+    void onAnswer(const member& from, const forwarded_answer&);
     // The ledger's answer to one of the router's tickets.
     void deliver(uint64_t ticket, const answer&);
     void onNewView();
@@ -55,17 +55,23 @@
         instant nextTry { 0 };
         reason lastRefusal = reason::owner_unsettled;
     };
+    struct send_record {
+        uint64_t ticket = 0;
+        uint64_t incarnation = 0; // Of the instance it went to.
+    };
     struct remote_peer {
+        uint64_t incarnation = 0;
         std::string dataCentre;
         instant lastHeard { 0 };
         int64_t catalogueNext = 0;
     };
 
-    void add(origin_type, request);
+    void add(origin_type, request, int unresolved);
     void route(uint64_t ticket);
     instance_id targetOf(const pending&) const;
     instance_id remoteTarget(const std::string& dataCentre, const work_id&) const;
-    void rememberRefused(const peer_origin&, const answer&);
+    uint64_t incarnationOf(const instance_id&) const;
+    void rememberAnswered(const peer_origin&, const answer&);
     void erase(uint64_t ticket);
     void reply(const origin_type&, const answer&);
     void expire(uint64_t ticket);
@@ -75,10 +81,11 @@
     ledger* m_ledger = nullptr;
     std::map<uint64_t, pending> m_pending;
     std::map<peer_origin, uint64_t> m_byPeer;
-    std::map<uint64_t, uint64_t> m_sends; // Own ticket by send id, for each send without an answer.
-    // Forwards that were refused, so that a repetition gets the same answer.
-    std::map<peer_origin, answer> m_refused;
-    std::deque<std::pair<instant, peer_origin>> m_refusedOrder;
+    std::map<uint64_t, send_record> m_sends; // By send id, for each send without an answer.
+    // Forwards that were answered. A repetition of a refused one gets the same refusal; one that was
+    // answered otherwise may have run.
+    std::map<peer_origin, std::optional<answer>> m_answered;
+    std::deque<std::pair<instant, peer_origin>> m_answeredOrder;
     std::map<instance_id, remote_peer> m_remote;
     uint64_t m_nextSend;
     uint64_t m_nextTicket = 1;
--- a/src/coordination/version/catalogue_sync.cpp
+++ b/src/coordination/version/catalogue_sync.cpp
@@ -49,6 +49,7 @@
     m_cursor = std::max(m_cursor, m_catalogue.nextOffset());
     if (reply.first > m_cursor && !m_gap) {
         m_gap = true;
+        m_gapFrom = reply.first;
         m_held.clear();
     }
     for (const auto& entry : reply.records)
@@ -89,8 +90,8 @@
     for (const auto& item : source.at("snapshot"))
         records.push_back(recordFromJson(item));
     int64_t next = source.at("next").get<int64_t>();
-    bool covered = m_held.empty() || m_held.front().offset <= next || m_held.size() < maxHeld;
-    if (!covered)
+    // Records between the snapshot and the first one kept would be missing otherwise.
+    if (next < m_gapFrom || m_held.size() >= maxHeld)
         return;
     m_catalogue.restore(records, next);
     leaveGap();
--- a/src/coordination/version/catalogue_sync.h
+++ b/src/coordination/version/catalogue_sync.h
@@ -56,6 +56,7 @@
     std::map<instance_id, instant> m_lastSent;
     bool m_available = true;
     bool m_gap = false; // The start of the stream is gone and no snapshot was met.
+    int64_t m_gapFrom = 0; // Offset of the first record that the log still kept then.
     std::vector<catalogue_record> m_held; // Records read since the gap.
     instant m_lastSnapshot { 0 };
     int64_t m_cursor = 0; // Offset to read from next.
--- a/src/coordination/version/membership.cpp
+++ b/src/coordination/version/membership.cpp
@@ -9,6 +9,7 @@
 
     constexpr int64_t penaltyTimeouts = 8; // Peer timeouts for which an unreachable member is left out.
     constexpr int64_t incompleteTimeouts = 2; // Peer timeouts after which an incomplete view is replaced.
+    constexpr uint64_t numberStride = 16; // Instances of a data centre that can have numbers of their own.
     constexpr int64_t startTimeouts = 1; // Peer timeouts an instance listens before it proposes alone.
 
 } // namespace
@@ -53,6 +54,19 @@
     return out;
 }
 
+// The lowest number above every one seen that is this instance's to use: no two instances propose the same.
+uint64_t membership::nextNumber() const
+{
+    std::vector<instance_id> everyone = m_context.options.peers;
+    everyone.push_back(m_context.options.self.id);
+    std::sort(everyone.begin(), everyone.end());
+    auto place = std::find(everyone.begin(), everyone.end(), m_context.options.self.id);
+    uint64_t rank = static_cast<uint64_t>(place - everyone.begin()) % numberStride;
+    uint64_t round = m_highestNumber / numberStride;
+    uint64_t candidate = round * numberStride + rank;
+    return candidate > m_highestNumber ? candidate : candidate + numberStride;
+}
+
 std::optional<view> membership::proposal()
 {
     // A new instance first listens, so that it does not propose a view of itself alone.
@@ -102,7 +116,7 @@
         return std::nullopt;
     m_pending.reset();
     view next;
-    next.id = { m_highestNumber + 1, m_context.options.self.id };
+    next.id = { nextNumber(), m_context.options.self.id };
     next.members = wanted;
     return next;
 }
--- a/src/coordination/version/membership.h
+++ b/src/coordination/version/membership.h
@@ -70,6 +70,7 @@
         bool leaving = false;
     };
     std::vector<member> desired() const;
+    uint64_t nextNumber() const;
     bool gone(const known_worker&) const;
 
     context& m_context;
--- a/standins/models.cpp
+++ b/standins/models.cpp
@@ -36,9 +36,10 @@
 
 int64_t bodyWorkMs(const std::string& body, bool batch) { return parseBody(body, batch).workMs; }
 
-worker_model::worker_model(worker_id id, resources capacity)
+worker_model::worker_model(worker_id id, resources capacity, uint64_t boot)
     : m_id(std::move(id))
     , m_capacity(capacity)
+    , m_boot(boot)
 {
 }
 
@@ -76,6 +77,7 @@
     worker_answer out;
     out.capacity = m_capacity;
     out.leaving = m_leaving;
+    out.boot = m_boot;
     out.maxToken = m_maxToken;
     out.seq = m_seq;
     for (const auto& [key, task] : m_tasks) {
@@ -251,6 +253,7 @@
     m_tasks.clear();
     m_ended.clear();
     m_leaseEnds = now;
+    m_boot++;
 }
 
 size_t worker_model::runningCount() const
--- a/standins/models.h
+++ b/standins/models.h
@@ -21,7 +21,8 @@
 
 class worker_model {
 public:
-    worker_model(worker_id id, resources capacity);
+    // `boot` must differ from that of an earlier process of the same worker.
+    worker_model(worker_id id, resources capacity, uint64_t boot = 1);
 
     worker_answer handle(instant now, const worker_call&);
     // Ends what is due and stops the tasks of a lapsed lease.
@@ -71,6 +72,7 @@
     instant m_leaseEnds { 0 };
     instant m_taskLeaseEnds { 0 };
     uint64_t m_seq = 0;
+    uint64_t m_boot;
     double m_speed = 1.0;
     bool m_failing = false;
     bool m_leaving = false;
--- a/standins/worker_main.cpp
+++ b/standins/worker_main.cpp
@@ -35,7 +35,7 @@
     worker_daemon(event_loop& loop, worker_settings settings)
         : m_loop(loop)
         , m_settings(std::move(settings))
-        , m_model(m_settings.id, m_settings.capacity)
+        , m_model(m_settings.id, m_settings.capacity, static_cast<uint64_t>(event_loop::now().count()))
         , m_platform(loop, "127.0.0.1", m_settings.platformPort, 2)
         , m_server(loop, http_limits { 1u << 20, 600'000 },
               [this](http_request asked, std::shared_ptr<http_reply> reply) { serve(asked, reply); })
--- a/tests/sim/world.cpp
+++ b/tests/sim/world.cpp
@@ -254,6 +254,12 @@
         int64_t next = n.core->currentCatalogue().nextOffset();
         if (next < n.catalogueNext)
             m_report.violations.push_back({ "catalogue never reverts", n.options.self.id });
+        if (tracing() && n.catalogueNext != next) {
+            const auto* spare = n.core->currentCatalogue().find("spare");
+            trace(n.options.self.id,
+                "catalogue at " + std::to_string(next) + ", spare version "
+                    + std::to_string(spare ? spare->version : 0));
+        }
         n.catalogueNext = next;
     }
 
@@ -808,9 +814,25 @@
         m_observer.setRate(
             [this](const worker_id& id, instant local) { return trueTime(m_workers.at(id), local); });
         m_observer.check(runs, m_report);
+        explainTraced();
         checkCatalogue();
     }
 
+    // What each node says in the end of the work that is traced.
+    void explainTraced()
+    {
+        for (const auto& [name, n] : m_nodes) {
+            if (!tracing() || !n.up)
+                continue;
+            for (const auto& centre : { "north", "south" }) {
+                explanation found = n.core->explain(std::string(centre) + "~k~" + m_options.trace);
+                std::printf("%s says: %s\n", name.c_str(), found.text.c_str());
+                for (const auto& [field, value] : found.fields)
+                    std::printf("    %s %s\n", field.c_str(), value.c_str());
+            }
+        }
+    }
+
     void checkCatalogue()
     {
         const catalogue* first = nullptr;
@@ -823,7 +845,9 @@
             const auto* other = first->find("spare");
             bool same = (!mine && !other) || (mine && other && mine->version == other->version);
             if (!same)
-                m_report.violations.push_back({ "one catalogue everywhere", name });
+                m_report.violations.push_back({ "one catalogue everywhere",
+                    name + " has version " + std::to_string(mine ? mine->version : 0) + ", another "
+                        + std::to_string(other ? other->version : 0) });
         }
         // Every change that won is in force or was replaced by a later one.
         for (const auto& won : m_wonChanges) {
