Place recovered work only after the log was compared; let everybody leave

Change: recovered or long-held work is not placed until the log was compared under the present view; ends count as pending only while someone owns them.

--- a/src/coordination/process/holder.cpp
+++ b/src/coordination/process/holder.cpp
@@ -731,7 +731,9 @@
         return false;
     for (const auto& [id, record] : m_workers) {
         for (const auto& [workId, held] : record.tasks) {
-            if (held.phase == task_phase::ended && !held.kept)
+            // With no owner left to hear of an end, the worker's own list will tell the next holder.
+            bool heard = !m_members.promised().ownerOfWork(workId).empty();
+            if (held.phase == task_phase::ended && !held.kept && heard)
                 return false;
         }
     }
--- a/src/coordination/request/ledger.cpp
+++ b/src/coordination/request/ledger.cpp
@@ -78,6 +78,8 @@
             lost.push_back(id);
             continue;
         }
+        if (it.journaled && isKeyed(id) && !m_tenured[shardOf(id)])
+            it.unverified = true;
         auto* at = std::get_if<placed>(&it.phase);
         if (!at)
             continue;
--- a/src/coordination/request/ledger.h
+++ b/src/coordination/request/ledger.h
@@ -72,6 +72,8 @@
         bool journaled = false;
         bool durable = false; // The opening record is in the log.
         bool everStarted = false; // Some attempt may have run.
+        // Another owner may have ended it; not placed until the log has been compared.
+        bool unverified = false;
         bool cancelling = false;
         bool expired = false; // The deadline has passed and the callers were told.
         uint32_t failures = 0;
--- a/src/coordination/request/ledger_outcomes.cpp
+++ b/src/coordination/request/ledger_outcomes.cpp
@@ -85,7 +85,8 @@
         if (candidates.size() >= scanLength)
             break;
         const item& it = m_items.at(key.id);
-        if (std::get<queued>(it.phase).notBefore <= m_context.now && active(key.id))
+        bool due = std::get<queued>(it.phase).notBefore <= m_context.now;
+        if (due && !it.unverified && active(key.id))
             candidates.push_back(key.id);
     }
     for (const auto& id : candidates) {
@@ -247,7 +248,7 @@
     if (journaled && !state && !whole && !m_journal.recovered())
         return; // The holder repeats the report until the log says what this is.
     if (state && !state->first.work.id.empty())
-        createFromLog(report.id, *state);
+        createFromLog(report.id, *state).unverified = true;
     else
         createFromReport(report, journaled);
     note(m_items.at(report.id), "reported by " + from);
@@ -546,6 +547,9 @@
         changed.push_back(id);
     for (const auto& id : changed)
         recover(id);
+    // What the log does not end is still to be done.
+    for (auto& [id, it] : m_items)
+        it.unverified = false;
 }
 
 void ledger::recover(const work_id& id)
--- a/tests/sim/world.cpp
+++ b/tests/sim/world.cpp
@@ -824,6 +824,13 @@
         for (const auto& [name, n] : m_nodes) {
             if (!tracing() || !n.up)
                 continue;
+            node_status status = n.core->status();
+            std::printf("%s in view %s: complete %d closed %d ready %d leaving %d held %zu usable %zu queued "
+                        "%zu placed "
+                        "%zu unaccounted %zu log %d\n",
+                name.c_str(), status.promised.str().c_str(), status.complete, status.closed, status.ready,
+                status.leaving, status.workersHeld, status.workersUsable, status.queued, status.placed,
+                status.unsettled, status.logAvailable);
             for (const auto& centre : { "north", "south" }) {
                 explanation found = n.core->explain(std::string(centre) + "~k~" + m_options.trace);
                 std::printf("%s says: %s\n", name.c_str(), found.text.c_str());
