Ignore late news of attempts that are over; keep outcomes the log lacks

Change: each piece of work remembers its highest ended attempt; answers are kept at least until the log has them.

--- a/src/coordination/request/ledger.cpp
+++ b/src/coordination/request/ledger.cpp
@@ -441,7 +441,15 @@
         if (!old && m_kept.size() <= m_context.options.maxKept)
             return;
         auto found = m_kept.find(m_keptOrder.front().second);
-        if (found != m_kept.end() && found->second.at == m_keptOrder.front().first)
+        bool pending = found != m_kept.end() && !found->second.recordId.empty();
+        if (pending && !old)
+            return;
+        if (pending) {
+            // The log does not have the outcome yet, so this is its only memory.
+            found->second.at = m_context.now;
+            m_keptOrder.emplace_back(m_context.now, found->first);
+        }
+        if (!pending && found != m_kept.end() && found->second.at == m_keptOrder.front().first)
             m_kept.erase(found);
         m_keptOrder.pop_front();
     }
--- a/src/coordination/request/ledger.h
+++ b/src/coordination/request/ledger.h
@@ -74,6 +74,7 @@
         bool everStarted = false; // Some attempt may have run.
         // Another owner may have ended it; not placed until the log has been compared.
         bool unverified = false;
+        uint64_t endedAttempt = 0; // The highest attempt that is known to have ended.
         bool cancelling = false;
         bool expired = false; // The deadline has passed and the callers were told.
         uint32_t failures = 0;
--- a/src/coordination/request/ledger_outcomes.cpp
+++ b/src/coordination/request/ledger_outcomes.cpp
@@ -195,7 +195,8 @@
         return;
     }
     item& it = found->second;
-    if (report.attempt < it.work.attempt) {
+    if (report.attempt < it.work.attempt || report.attempt <= it.endedAttempt) {
+        // Late news of an attempt that is over.
         if (report.state != task_state::running)
             keepUpdate(from, report);
         return;
@@ -254,7 +255,8 @@
     note(m_items.at(report.id), "reported by " + from);
     // A report that names no running task still ends the attempt it names.
     item& it = m_items.at(report.id);
-    if (report.state != task_state::running) {
+    bool news = report.attempt > it.endedAttempt;
+    if (news && report.state != task_state::running) {
         it.work.attempt = report.attempt;
         placed at;
         at.acknowledged = true;
@@ -263,6 +265,9 @@
         at.view = m_members.promised().id;
         setPhase(it, at);
     }
+    // With nothing but late news the work still has to be done.
+    if (!news)
+        enqueue(it, m_context.now, reason::retry_worker_lost);
     absorb(from, m_members.promised().id, report);
 }
 
@@ -287,6 +292,7 @@
     item& it = m_items[id];
     it.work = state.first.work;
     it.work.attempt = state.attempt;
+    it.endedAttempt = state.attempt; // Only ended attempts are recorded.
     it.work.checkpoint = state.checkpoint;
     it.bodyHash = state.first.bodyHash;
     it.journaled = true;
@@ -327,6 +333,7 @@
 {
     work_id id = it.work.id;
     note(it, std::string(toString(report.state)) + " on " + report.worker);
+    it.endedAttempt = report.attempt;
     answer out;
     out.id = id;
     out.attempt = report.attempt;
