A holder that lost every lease waits for a new view; own records count at once

Change: such a holder neither takes, confirms nor starts until it promises a new view; durable records are folded when confirmed; closure needs a worker.

--- a/src/coordination/coordination.h
+++ b/src/coordination/coordination.h
@@ -369,6 +369,7 @@
     accept_before_durable, // Batch work is accepted before its record is durable.
     skip_confirmation, // A worker taken under a view is used before the members confirm it.
     catalogue_reverts, // A lower catalogue version replaces a higher one.
+    lease_after_lapse, // A holder that lost every lease takes new ones under the same view.
     leaving_still_used, // A leaving worker receives new work.
 };
 
--- a/src/coordination/process/holder.cpp
+++ b/src/coordination/process/holder.cpp
@@ -40,6 +40,18 @@
     }
     if (usableCount() == 0)
         m_unbroken = false;
+    bool inUse = std::any_of(m_workers.begin(), m_workers.end(),
+        [this](const auto& item) { return usableUnderView(item.second); });
+    m_usedUnderView = m_usedUnderView || inUse;
+    if (m_usedUnderView && !inUse && !m_stale && !m_context.has(fault::lease_after_lapse)) {
+        m_stale = true;
+        m_members.sawNumber(m_members.promised().id.number + 1);
+    }
+}
+
+bool holder::usableUnderView(const worker_record& record) const
+{
+    return record.usable && record.lease == lease_state::held && record.takenUnder == m_members.promised().id;
 }
 
 void holder::resetUnbroken() { m_unbroken = usableCount() != 0; }
@@ -62,9 +74,11 @@
     }
     for (auto& [id, record] : m_workers) {
         bool mine = active && m_members.promised().holderOf(id) == m_context.options.self.id;
+        bool mayAsk = record.lease == lease_state::held || !m_stale;
         if (record.lease == lease_state::held && !mine)
             release(record);
-        else if (mine && m_context.now >= record.nextAsk && (m_members.isListed(id) || record.wasHeld))
+        else if (mine && mayAsk && m_context.now >= record.nextAsk
+            && (m_members.isListed(id) || record.wasHeld))
             askLease(record);
         bool taken = record.lease == lease_state::held && record.takenUnder == m_members.promised().id;
         if (taken && !confirmedByAll(record) && m_context.now >= record.nextAnnounce)
@@ -77,6 +91,8 @@
 
 void holder::onNewView()
 {
+    m_stale = false;
+    m_usedUnderView = false;
     for (auto& [id, record] : m_workers) {
         record.confirmedBy.clear();
         record.retake = record.lease == lease_state::held;
@@ -424,7 +440,7 @@
     // A repeated start is answered by what became of the first, whatever the view is now.
     if (answerRepeated(from, wanted))
         return;
-    bool sameView = start.id == m_members.promised().id && m_members.inView();
+    bool sameView = start.id == m_members.promised().id && m_members.inView() && !m_stale;
     if (!sameView && !m_context.has(fault::holder_ignores_view)) {
         remember(wanted.id, wanted.attempt, true);
         m_context.send(from, start_refused { wanted.id, wanted.attempt, reason::retry_stale_view });
--- a/src/coordination/process/holder.h
+++ b/src/coordination/process/holder.h
@@ -34,6 +34,9 @@
     // True while at least one usable lease has been held without a gap since `resetUnbroken`.
     bool unbroken() const { return m_unbroken; }
     void resetUnbroken();
+    // True when every lease taken under the promised view was lost. Another view may then have been closed
+    // without this instance, so it takes, confirms and starts nothing until it promises a new one.
+    bool stale() const { return m_stale; }
     size_t heldCount() const;
     size_t usableCount() const;
     resources largestRoom() const;
@@ -106,6 +109,7 @@
     bool confirmedByAll(const worker_record&) const;
     uint64_t nextToken();
     void loseLease(worker_record&);
+    bool usableUnderView(const worker_record&) const;
     void onRefused(worker_record&, const worker_answer&);
     void sendUpdate(task&);
     void book(worker_record&, task&);
@@ -134,6 +138,8 @@
     std::deque<std::pair<instant, std::pair<work_id, uint64_t>>> m_pastOrder;
     uint64_t m_tokenFloor = 0;
     bool m_unbroken = false;
+    bool m_usedUnderView = false; // Some worker taken under the promised view became usable.
+    bool m_stale = false;
 };
 
 } // namespace camphorwell
--- a/src/coordination/process/node.cpp
+++ b/src/coordination/process/node.cpp
@@ -192,7 +192,8 @@
             self.members.account(taken.worker, from.id);
             if (from.id != self.shared.options.self.id)
                 self.workers.onTakenByOther(taken.worker);
-            self.shared.send(from.id, worker_confirmed { taken.id, taken.worker });
+            if (!self.workers.stale())
+                self.shared.send(from.id, worker_confirmed { taken.id, taken.worker });
             self.work.onTaken(from.id, taken);
         }
         void operator()(const worker_confirmed& note) { self.workers.onConfirmed(from.id, note); }
--- a/src/coordination/request/journal.cpp
+++ b/src/coordination/request/journal.cpp
@@ -151,8 +151,10 @@
     switch (reply.status) {
     case append_status::durable:
         m_available = true;
-        for (const auto& record : m_inFlight)
+        for (const auto& record : m_inFlight) {
             m_settled.emplace_back(record.recordId, true);
+            foldRecord(record); // Before the next reading brings it.
+        }
         m_inFlight.clear();
         appendNext();
         break;
@@ -312,25 +314,30 @@
                 m_seenInFlight.insert(record->recordId);
         }
     }
-    auto& state = m_states[record->work.id];
-    state.attempt = std::max(state.attempt, record->work.attempt);
-    if (isOpening(record->kind)) {
+    foldRecord(*record);
+}
+
+void journal::foldRecord(const work_record& record)
+{
+    auto& state = m_states[record.work.id];
+    state.attempt = std::max(state.attempt, record.work.attempt);
+    if (isOpening(record.kind)) {
         // Of a record met in the first reading nobody knows the age.
         instant half = milliseconds(m_context.options.logRetentionMs / 2);
         state.youngAt = m_lastEnd ? m_context.now : m_context.now - half;
         if (state.first.work.id.empty())
-            state.first = *record;
-        if (!record->work.checkpoint.empty())
-            state.checkpoint = record->work.checkpoint;
-    } else if (record->kind == record_kind::evict) {
-        state.checkpoint = record->work.checkpoint;
+            state.first = record;
+        if (!record.work.checkpoint.empty())
+            state.checkpoint = record.work.checkpoint;
+    } else if (record.kind == record_kind::evict) {
+        state.checkpoint = record.work.checkpoint;
     } else if (!state.end || state.end->kind == record_kind::unknown) {
         // An outcome that was learnt later replaces "unknown".
-        state.end = *record;
+        state.end = record;
         state.first.work.body.clear(); // The hash is enough to recognise a retry.
-        m_ended.emplace_back(m_context.now, record->work.id);
+        m_ended.emplace_back(m_context.now, record.work.id);
     }
-    m_changed.push_back(record->work.id);
+    m_changed.push_back(record.work.id);
 }
 
 std::vector<std::pair<std::string, bool>> journal::takeSettled()
--- a/src/coordination/request/journal.h
+++ b/src/coordination/request/journal.h
@@ -62,6 +62,7 @@
     void appendNext();
     void startRead();
     void fold(const std::string& data);
+    void foldRecord(const work_record&);
     void finishSettling();
     void keepYoung(const std::function<bool(const work_id&)>& owns);
     bool mayGiveUp(const work_record&) const;
--- a/src/coordination/version/membership.cpp
+++ b/src/coordination/version/membership.cpp
@@ -224,7 +224,10 @@
 
 bool membership::complete() const { return inView() && m_acknowledged.size() >= m_view.members.size(); }
 
-bool membership::closed() const { return m_hasList && complete() && unaccounted().empty(); }
+bool membership::closed() const
+{
+    return m_hasList && complete() && !m_accounted.empty() && unaccounted().empty();
+}
 
 std::vector<worker_id> membership::unaccounted() const
 {
