A taken worker is alive; dropped work stays dropped for late news

Change: a member's word counts as a listing; ended attempts of dropped work are remembered, but never against a result.

--- a/src/coordination/request/ledger.h
+++ b/src/coordination/request/ledger.h
@@ -142,6 +142,7 @@
     void note(item&, const std::string& text);
     int64_t countEntry(const entry_name&) const;
     int64_t shareOf(int64_t limit) const;
+    void rememberOver(const work_id&, uint64_t attempt);
     void eraseItem(const work_id&);
     void trimKept();
 
@@ -160,6 +161,9 @@
     std::map<entry_name, int64_t> m_entryCounts;
     std::map<uint64_t, work_id> m_ticketWork;
     std::map<instance_id, room_hint> m_hints;
+    // The highest ended attempt of work that was dropped, so that late news does not bring it back.
+    std::map<work_id, uint64_t> m_over;
+    std::deque<work_id> m_overOrder;
     std::vector<bool> m_tenured;
     bool m_wasClosed = false;
     bool m_scanned = false; // The log was compared with the items under this view.
--- a/src/coordination/request/ledger_outcomes.cpp
+++ b/src/coordination/request/ledger_outcomes.cpp
@@ -9,6 +9,7 @@
 
     constexpr int64_t noRoomPauseMs = 20;
     constexpr int64_t retryPauseMs = 50;
+    constexpr size_t maxOver = 20'000; // Dropped pieces of work whose ended attempts are remembered.
     constexpr uint32_t maxFailures = 3; // Failed attempts of idempotent work before the caller is told.
     constexpr size_t scanLength = 32; // Queued items looked at in one dispatch.
     constexpr unsigned attemptShift = 10; // An attempt is the view number above a count.
@@ -238,6 +239,12 @@
 // Work that a holder reports and this instance, its owner now, has not heard of.
 void ledger::adoptUnknown(const instance_id& from, const task_report& report)
 {
+    auto over = m_over.find(report.id);
+    if (over != m_over.end() && report.attempt <= over->second && report.state != task_state::done) {
+        if (report.state != task_state::running)
+            keepUpdate(from, report);
+        return;
+    }
     bool journaled = report.batch || !report.idempotent;
     const durable_state* state = journaled ? m_journal.find(report.id) : nullptr;
     if (state && state->end) {
@@ -404,9 +411,15 @@
         finish(it, cancelledAnswer(it), record_kind::cancelled);
         return;
     }
+    if (!it.known && it.journaled) {
+        it.unverified = true; // The log has the rest.
+        enqueue(it, m_context.now + pause, why);
+        return;
+    }
     // Without its body the work cannot run again; a caller who still wants it asks again.
     bool pointless = !it.known || (it.expired && it.waiters.empty() && !it.work.batch);
     if (pointless) {
+        rememberOver(id, it.endedAttempt);
         eraseItem(id);
         return;
     }
@@ -446,6 +459,17 @@
     m_keptOrder.emplace_back(m_context.now, id);
 }
 
+void ledger::rememberOver(const work_id& id, uint64_t attempt)
+{
+    if (m_over.emplace(id, attempt).second)
+        m_overOrder.push_back(id);
+    m_over[id] = std::max(m_over[id], attempt);
+    if (m_overOrder.size() > maxOver) {
+        m_over.erase(m_overOrder.front());
+        m_overOrder.pop_front();
+    }
+}
+
 void ledger::eraseItem(const work_id& id)
 {
     auto found = m_items.find(id);
@@ -556,7 +580,7 @@
         recover(id);
     // What the log does not end is still to be done.
     for (auto& [id, it] : m_items)
-        it.unverified = false;
+        it.unverified = !it.known;
 }
 
 void ledger::recover(const work_id& id)
@@ -603,10 +627,10 @@
     if (it.known)
         return;
     it.known = true;
+    it.unverified = false;
     it.durable = true;
     it.work.body = state.first.work.body;
     it.work.owner = state.first.work.owner;
-    it.work.urgent = state.first.work.urgent;
     it.bodyHash = state.first.bodyHash;
     setDeadline(it, m_context.now + milliseconds(state.first.work.deadlineMs));
 }
--- a/src/coordination/version/membership.cpp
+++ b/src/coordination/version/membership.cpp
@@ -197,8 +197,10 @@
 void membership::account(const worker_id& worker, const instance_id& holder)
 {
     m_accounted[worker] = holder;
-    // A worker that a peer knows of counts as known here.
-    m_workers.try_emplace(worker, known_worker { m_context.now, false, false });
+    // A member has just reached it, so it lives until a later list says otherwise.
+    known_worker& known = m_workers[worker];
+    known.listed = true;
+    known.lastListed = m_context.now;
 }
 
 void membership::updateList(const platform_list& list)
