--- a/src/coordination/process/holder.cpp
+++ b/src/coordination/process/holder.cpp
@@ -40,18 +40,18 @@
     }
     if (usableCount() == 0)
         m_unbroken = false;
-    bool inUse = std::any_of(m_workers.begin(), m_workers.end(),
-        [this](const auto& item) { return usableUnderView(item.second); });
-    m_usedUnderView = m_usedUnderView || inUse;
-    if (m_usedUnderView && !inUse && !m_stale && !m_context.has(fault::lease_after_lapse)) {
+    bool inUse = std::any_of(
+        m_workers.begin(), m_workers.end(), [this](const auto& item) { return heldUnderView(item.second); });
+    m_heldAny = m_heldAny || inUse;
+    if (m_heldAny && !inUse && !m_stale && !m_context.has(fault::lease_after_lapse)) {
         m_stale = true;
         m_members.sawNumber(m_members.promised().id.number + 1);
     }
 }
 
-bool holder::usableUnderView(const worker_record& record) const
+bool holder::heldUnderView(const worker_record& record) const
 {
-    return record.usable && record.lease == lease_state::held && record.takenUnder == m_members.promised().id;
+    return record.lease == lease_state::held && record.takenUnder == m_members.promised().id;
 }
 
 void holder::resetUnbroken() { m_unbroken = usableCount() != 0; }
@@ -92,7 +92,7 @@
 void holder::onNewView()
 {
     m_stale = false;
-    m_usedUnderView = false;
+    m_heldAny = false;
     for (auto& [id, record] : m_workers) {
         record.confirmedBy.clear();
         record.retake = record.lease == lease_state::held;
--- a/src/coordination/process/holder.h
+++ b/src/coordination/process/holder.h
@@ -109,7 +109,7 @@
     bool confirmedByAll(const worker_record&) const;
     uint64_t nextToken();
     void loseLease(worker_record&);
-    bool usableUnderView(const worker_record&) const;
+    bool heldUnderView(const worker_record&) const;
     void onRefused(worker_record&, const worker_answer&);
     void sendUpdate(task&);
     void book(worker_record&, task&);
@@ -138,7 +138,7 @@
     std::deque<std::pair<instant, std::pair<work_id, uint64_t>>> m_pastOrder;
     uint64_t m_tokenFloor = 0;
     bool m_unbroken = false;
-    bool m_usedUnderView = false; // Some worker taken under the promised view became usable.
+    bool m_heldAny = false; // Some worker was taken under the promised view.
     bool m_stale = false;
 };
 
--- a/src/coordination/request/ledger_outcomes.cpp
+++ b/src/coordination/request/ledger_outcomes.cpp
@@ -142,8 +142,9 @@
         return;
     item& it = found->second;
     auto* at = std::get_if<placed>(&it.phase);
-    // A restarted holder does not know what its predecessor started.
-    if (!at || at->holder.id != from.id || at->holder.incarnation != from.incarnation)
+    // A restarted holder does not know what its predecessor started, and late refusals of repeated starts
+    // say nothing about an attempt that is known to run.
+    if (!at || at->acknowledged || at->holder.id != from.id || at->holder.incarnation != from.incarnation)
         return;
     m_context.count(refused.why);
     note(it, "refused by " + from.id + ": " + std::string(describe(refused.why).name));
