A lower attempt may be the one that runs

Change: while a start is undecided, a running or finished attempt named under the promised view takes its place; ended attempts are kept as a set.

--- a/src/coordination/request/ledger.h
+++ b/src/coordination/request/ledger.h
@@ -74,7 +74,10 @@
         bool everStarted = false; // Some attempt may have run.
         // Another owner may have ended it; not placed until the log has been compared.
         bool unverified = false;
-        uint64_t endedAttempt = 0; // The highest attempt that is known to have ended.
+        uint64_t highest = 0; // The highest attempt number used or heard of.
+        std::set<uint64_t> ended; // Attempts known to have ended; bounded.
+        // An attempt of another owner that runs while a start of this one is undecided.
+        std::optional<std::pair<instance_id, task_report>> other;
         bool cancelling = false;
         bool expired = false; // The deadline has passed and the callers were told.
         uint32_t failures = 0;
@@ -130,6 +133,8 @@
     void onEnded(item&, const task_report&);
     answer cancelledAnswer(const item&) const;
     void retry(item&, reason why, instant pause);
+    bool takesOver(const instance_id& from, const view_id&, const task_report&, item&);
+    void noteEnded(item&, uint64_t attempt);
     void adoptUnknown(const instance_id& from, const task_report&);
     void keepUpdate(const instance_id& to, const task_report&);
     void createFromReport(const task_report&, bool journaled);
--- a/src/coordination/request/ledger_outcomes.cpp
+++ b/src/coordination/request/ledger_outcomes.cpp
@@ -10,6 +10,7 @@
     constexpr int64_t noRoomPauseMs = 20;
     constexpr int64_t retryPauseMs = 50;
     constexpr size_t maxOver = 20'000; // Dropped pieces of work whose ended attempts are remembered.
+    constexpr size_t maxEnded = 64; // Ended attempts remembered for each piece of work.
     constexpr uint32_t maxFailures = 3; // Failed attempts of idempotent work before the caller is told.
     constexpr size_t scanLength = 32; // Queued items looked at in one dispatch.
     constexpr unsigned attemptShift = 10; // An attempt is the view number above a count.
@@ -95,7 +96,7 @@
         if (found == m_items.end() || !std::holds_alternative<queued>(found->second.phase))
             continue;
         item& it = found->second;
-        uint64_t placedUnder = it.work.attempt >> attemptShift;
+        uint64_t placedUnder = it.highest >> attemptShift;
         if (placedUnder > m_members.promised().id.number) {
             // The log or a report names an attempt of a later view, so this owner has been replaced.
             m_members.sawNumber(placedUnder);
@@ -115,7 +116,8 @@
 void ledger::place(item& it, const member& target)
 {
     uint64_t base = m_members.promised().id.number << attemptShift;
-    it.work.attempt = std::max(it.work.attempt, base) + 1;
+    it.highest = std::max(it.highest, base) + 1;
+    it.work.attempt = it.highest;
     placed at;
     at.holder = target;
     at.nextSend = m_context.now + milliseconds(m_context.options.resendMs);
@@ -197,13 +199,12 @@
         return;
     }
     item& it = found->second;
-    if (report.attempt < it.work.attempt || report.attempt <= it.endedAttempt) {
-        // Late news of an attempt that is over.
-        if (report.state != task_state::running)
-            keepUpdate(from, report);
+    bool current = report.attempt == it.work.attempt && !it.ended.count(report.attempt);
+    if (!current && !takesOver(from, id, report, it))
         return;
-    }
     it.work.attempt = report.attempt;
+    it.highest = std::max(it.highest, report.attempt);
+    it.other.reset();
     it.everStarted = true;
     it.durable = true; // Whoever started it had its opening record in the log.
     if (report.state == task_state::running) {
@@ -237,6 +238,34 @@
         keepUpdate(from, report);
 }
 
+// Whether a report of another attempt than the present one replaces it. Numbers follow views, and a view with
+// a lower number may have been in use later, so a lower attempt can be the one that runs.
+bool ledger::takesOver(const instance_id& from, const view_id& id, const task_report& report, item& it)
+{
+    bool over = it.ended.count(report.attempt) != 0;
+    if (!over && report.attempt > it.highest)
+        return true;
+    const auto* at = std::get_if<placed>(&it.phase);
+    bool undecided = !at || !at->acknowledged;
+    bool alive = report.state == task_state::running || report.state == task_state::done;
+    if (over || !undecided || !alive || id != m_members.promised().id) {
+        if (report.state != task_state::running)
+            keepUpdate(from, report); // Late news of an attempt that is over.
+        return false;
+    }
+    if (!at || m_members.closed())
+        return true;
+    it.other = { from, report }; // Until the start under way is decided.
+    return false;
+}
+
+void ledger::noteEnded(item& it, uint64_t attempt)
+{
+    it.ended.insert(attempt);
+    if (it.ended.size() > maxEnded)
+        it.ended.erase(it.ended.begin());
+}
+
 // Work that a holder reports and this instance, its owner now, has not heard of.
 void ledger::adoptUnknown(const instance_id& from, const task_report& report)
 {
@@ -263,7 +292,7 @@
     note(m_items.at(report.id), "reported by " + from);
     // A report that names no running task still ends the attempt it names.
     item& it = m_items.at(report.id);
-    bool news = report.attempt > it.endedAttempt;
+    bool news = report.attempt > it.highest;
     if (news && report.state != task_state::running) {
         it.work.attempt = report.attempt;
         placed at;
@@ -300,7 +329,8 @@
     item& it = m_items[id];
     it.work = state.first.work;
     it.work.attempt = state.attempt;
-    it.endedAttempt = state.attempt; // Only ended attempts are recorded.
+    it.highest = state.attempt;
+    noteEnded(it, state.attempt); // Only ended attempts are recorded.
     it.work.checkpoint = state.checkpoint;
     it.bodyHash = state.first.bodyHash;
     it.journaled = true;
@@ -341,7 +371,7 @@
 {
     work_id id = it.work.id;
     note(it, std::string(toString(report.state)) + " on " + report.worker);
-    it.endedAttempt = report.attempt;
+    noteEnded(it, report.attempt);
     answer out;
     out.id = id;
     out.attempt = report.attempt;
@@ -420,7 +450,7 @@
     // Without its body the work cannot run again; a caller who still wants it asks again.
     bool pointless = !it.known || (it.expired && it.waiters.empty() && !it.work.batch);
     if (pointless) {
-        rememberOver(id, it.endedAttempt);
+        rememberOver(id, it.highest);
         eraseItem(id);
         return;
     }
@@ -506,6 +536,12 @@
 // carries an earlier view and will be refused.
 void ledger::resolveDoubt(item& it)
 {
+    if (it.other) {
+        auto [from, report] = *it.other;
+        it.other.reset();
+        absorb(from, m_members.promised().id, report);
+        return;
+    }
     note(it, "no worker has it");
     it.everStarted = true;
     if (it.work.idempotent || m_context.has(fault::rerun_unknown)) {
