--- a/src/coordination/request/ledger_outcomes.cpp
+++ b/src/coordination/request/ledger_outcomes.cpp
@@ -412,6 +412,10 @@
         record.work.checkpoint = report.checkpoint;
         if (it.journaled)
             m_journal.add(std::move(record));
+        if (m_context.has(fault::resume_twice)) {
+            it.work.attempt = ++it.highest;
+            m_context.send(m_context.options.self.id, start_work { m_members.promised().id, it.work });
+        }
         retry(it, reason::retry_evicted, m_context.jitter(retryPauseMs));
         return;
     }
