--- a/tests/sim/world.h
+++ b/tests/sim/world.h
@@ -31,6 +31,7 @@
     bool operators = true;
     bool leaving = true;
     double requestsPerSecond = 25;
+    int64_t longQuickMs = 3000; // Longest run time of quick work; its deadline is 2500 ms.
     std::string trace; // Events whose text contains this are printed; "all" prints what the nodes log.
 };
 
