--- a/src/coordination/request/journal.cpp
+++ b/src/coordination/request/journal.cpp
@@ -267,6 +267,8 @@
         m_available = false;
         return true;
     }
+    // While an append is in doubt only its settling shows that the log works.
+    m_available = m_available || !m_settling;
     for (const auto& entry : reply.records)
         fold(entry.data);
     m_cursor = std::max(m_cursor, reply.next);
--- a/src/net/connection/peer_hub.cpp
+++ b/src/net/connection/peer_hub.cpp
@@ -213,7 +213,24 @@
             via->read(chunk.data(), chunk.size());
         }
         if (via->closing)
-            hub->drop(via);
+            hub->dropWhenSent(via);
+    }
+
+    // A refusal still has to reach the other side.
+    void dropWhenSent(link* via)
+    {
+        if (evbuffer_get_length(bufferevent_get_output(via->bev)) == 0) {
+            drop(via);
+            return;
+        }
+        bufferevent_disable(via->bev, EV_READ);
+        bufferevent_setcb(via->bev, nullptr, onSent, onEvent, via);
+    }
+
+    static void onSent(bufferevent*, void* arg)
+    {
+        auto* via = static_cast<link*>(arg);
+        via->hub->drop(via);
     }
 
     static void onEvent(bufferevent* bev, short what, void* arg)
