--- a/src/coordination/connection/codec.cpp
+++ b/src/coordination/connection/codec.cpp
@@ -61,7 +61,7 @@
     template <typename Archive> void fields(Archive& a, start_work& v) { a("id", v.id)("w", v.work); }
     template <typename Archive> void fields(Archive& a, start_refused& v)
     {
-        a("id", v.id)("at", v.attempt)("y", v.why);
+        a("id", v.id)("at", v.attempt)("y", v.why)("bw", v.byWorker);
     }
     template <typename Archive> void fields(Archive& a, task_update& v) { a("v", v.id)("r", v.report); }
     template <typename Archive> void fields(Archive& a, task_update_kept& v)
--- a/src/coordination/coordination.h
+++ b/src/coordination/coordination.h
@@ -178,6 +178,7 @@
     work_id id;
     uint64_t attempt = 0;
     reason why = reason::no_room;
+    bool byWorker = false; // The worker's own word that it never started; true whoever passes it on.
 };
 struct task_update {
     view_id id; // The sender's promised view; empty when it only passes on what the worker said.
--- a/src/coordination/process/holder.cpp
+++ b/src/coordination/process/holder.cpp
@@ -626,8 +626,8 @@
     uint64_t attempt = found->second.report.attempt;
     record.tasks.erase(found);
     remember(id, attempt, true);
-    m_context.send(
-        m_members.promised().ownerOfWork(id), start_refused { id, attempt, reason::retry_never_started });
+    m_context.send(m_members.promised().ownerOfWork(id),
+        start_refused { id, attempt, reason::retry_never_started, true });
 }
 
 void holder::sendUpdate(task& held)
--- a/src/coordination/request/ledger.cpp
+++ b/src/coordination/request/ledger.cpp
@@ -30,6 +30,7 @@
     , m_catalogue(entries)
     , m_deliver(std::move(answerTo))
     , m_tenured(shardCount, false)
+    , m_compared(shardCount, false)
 {
 }
 
@@ -55,7 +56,7 @@
         std::fill(m_tenured.begin(), m_tenured.end(), false);
 }
 
-bool ledger::needsRecovery(const work_id& id) const { return isKeyed(id) && !m_journal.recovered(); }
+bool ledger::needsRecovery(const work_id& id) const { return isKeyed(id) && !m_compared[shardOf(id)]; }
 
 void ledger::onNewView()
 {
@@ -65,6 +66,7 @@
         bool mine = m_members.promised().ownerOfShard(shard) == self;
         if (!mine)
             m_tenured[shard] = false;
+        m_compared[shard] = m_compared[shard] && m_tenured[shard];
         gained = gained || (mine && !m_tenured[shard]);
     }
     if (gained)
--- a/src/coordination/request/ledger.h
+++ b/src/coordination/request/ledger.h
@@ -170,6 +170,7 @@
     std::map<work_id, uint64_t> m_over;
     std::deque<work_id> m_overOrder;
     std::vector<bool> m_tenured;
+    std::vector<bool> m_compared; // Shards for which the log holds nothing that is not known here.
     bool m_wasClosed = false;
     bool m_scanned = false; // The log was compared with the items under this view.
     size_t m_placedCount = 0;
--- a/src/coordination/request/ledger_outcomes.cpp
+++ b/src/coordination/request/ledger_outcomes.cpp
@@ -146,7 +146,11 @@
     auto* at = std::get_if<placed>(&it.phase);
     // A restarted holder does not know what its predecessor started, and late refusals of repeated starts
     // say nothing about an attempt that is known to run.
-    if (!at || at->acknowledged || at->holder.id != from.id || at->holder.incarnation != from.incarnation)
+    if (!at)
+        return;
+    bool ownWord
+        = !at->acknowledged && at->holder.id == from.id && at->holder.incarnation == from.incarnation;
+    if (!ownWord && !refused.byWorker)
         return;
     m_context.count(refused.why);
     note(it, "refused by " + from.id + ": " + std::string(describe(refused.why).name));
@@ -622,6 +626,7 @@
     // What the log does not end is still to be done.
     for (auto& [id, it] : m_items)
         it.unverified = !it.known;
+    std::fill(m_compared.begin(), m_compared.end(), true);
 }
 
 void ledger::recover(const work_id& id)
--- a/tests/process/deployment.cpp
+++ b/tests/process/deployment.cpp
@@ -22,45 +22,45 @@
 
 namespace {
 
-using nlohmann::json;
-using std::chrono::steady_clock;
-
-constexpr int64_t startTimeoutMs = 20'000;
-constexpr int64_t pollMs = 20;
-
-void sleepMs(int64_t ms) { std::this_thread::sleep_for(milliseconds(ms)); }
-
-int connectTo(uint16_t port)
-{
-    int fd = socket(AF_INET, SOCK_STREAM, 0);
-    sockaddr_in address {};
-    address.sin_family = AF_INET;
-    address.sin_port = htons(port);
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    if (connect(fd, reinterpret_cast<sockaddr*>(&address), sizeof address) != 0) {
-        close(fd);
-        return -1;
+    using nlohmann::json;
+    using std::chrono::steady_clock;
+
+    constexpr int64_t startTimeoutMs = 20'000;
+    constexpr int64_t pollMs = 20;
+
+    void sleepMs(int64_t ms) { std::this_thread::sleep_for(milliseconds(ms)); }
+
+    int connectTo(uint16_t port)
+    {
+        int fd = socket(AF_INET, SOCK_STREAM, 0);
+        sockaddr_in address {};
+        address.sin_family = AF_INET;
+        address.sin_port = htons(port);
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        if (connect(fd, reinterpret_cast<sockaddr*>(&address), sizeof address) != 0) {
+            close(fd);
+            return -1;
+        }
+        return fd;
     }
-    return fd;
-}
 
-// True when `bytes` holds a whole HTTP answer.
-bool isWhole(const std::string& bytes)
-{
-    size_t end = bytes.find("\r\n\r\n");
-    if (end == std::string::npos)
-        return false;
-    size_t length = bytes.find("Content-Length: ");
-    if (length == std::string::npos || length > end)
-        return false;
-    return bytes.size() >= end + 4 + std::strtoull(bytes.c_str() + length + 16, nullptr, 10);
-}
+    // True when `bytes` holds a whole HTTP answer.
+    bool isWhole(const std::string& bytes)
+    {
+        size_t end = bytes.find("\r\n\r\n");
+        if (end == std::string::npos)
+            return false;
+        size_t length = bytes.find("Content-Length: ");
+        if (length == std::string::npos || length > end)
+            return false;
+        return bytes.size() >= end + 4 + std::strtoull(bytes.c_str() + length + 16, nullptr, 10);
+    }
 
-std::string programPath(const std::string& name)
-{
-    const char* directory = std::getenv("CAMPHORWELL_BIN");
-    return std::string(directory ? directory : ".") + "/" + name;
-}
+    std::string programPath(const std::string& name)
+    {
+        const char* directory = std::getenv("CAMPHORWELL_BIN");
+        return std::string(directory ? directory : ".") + "/" + name;
+    }
 
 } // namespace
 
@@ -78,8 +78,8 @@
     uint16_t port = m_options.firstPort;
     process platform;
     platform.port = port++;
-    platform.arguments = { programPath("camphorwell-standin-platform"), "--port", std::to_string(platform.port),
-        "--lag-ms", std::to_string(m_options.listLagMs) };
+    platform.arguments = { programPath("camphorwell-standin-platform"), "--port",
+        std::to_string(platform.port), "--lag-ms", std::to_string(m_options.listLagMs) };
     m_processes["platform"] = platform;
     for (const auto& centre : m_options.dataCentres) {
         for (int i = 1; i <= m_options.workers; i++) {
@@ -87,8 +87,8 @@
             std::string id = centre + "-w" + std::to_string(i);
             worker.port = port++;
             worker.dataCentre = centre;
-            worker.arguments = { programPath("camphorwell-standin-worker"), "--id", id, "--dc", centre, "--port",
-                std::to_string(worker.port), "--platform-port", std::to_string(platform.port) };
+            worker.arguments = { programPath("camphorwell-standin-worker"), "--id", id, "--dc", centre,
+                "--port", std::to_string(worker.port), "--platform-port", std::to_string(platform.port) };
             m_processes[id] = worker;
         }
         for (int i = 1; i <= m_options.instances; i++) {
@@ -97,7 +97,8 @@
             entry.port = port++;
             m_peerPorts[id] = port++;
             entry.dataCentre = centre;
-            entry.arguments = { programPath("camphorwell-entry"), "--settings", m_directory + "/" + id + ".json" };
+            entry.arguments
+                = { programPath("camphorwell-entry"), "--settings", m_directory + "/" + id + ".json" };
             m_processes[id] = entry;
         }
     }
@@ -122,15 +123,17 @@
     json settings = { { "instance", instance }, { "data_centre", entry.dataCentre },
         { "http", { { "address", "127.0.0.1" }, { "port", entry.port }, { "idle_ms", 5000 } } },
         { "peer", { { "address", "127.0.0.1" }, { "port", peerPort }, { "key", "key-for-the-tests-only" } } },
-        { "platform", { { "address", "127.0.0.1" }, { "port", platformPort() } } }, { "peers", json::array() },
+        { "platform", { { "address", "127.0.0.1" }, { "port", platformPort() } } },
+        { "peers", json::array() },
         { "timing",
             { { "lease_ms", m_options.leaseMs }, { "renew_ms", m_options.leaseMs * 3 / 10 },
                 { "task_lease_ms", m_options.leaseMs * 4 }, { "log_poll_ms", 200 },
                 { "call_timeout_ms", m_options.leaseMs / 2 }, { "list_drop_ms", 2000 } } } };
     for (const auto& [id, port] : m_peerPorts) {
         if (id != instance)
-            settings["peers"].push_back({ { "instance", id }, { "data_centre", m_processes.at(id).dataCentre },
-                { "address", "127.0.0.1" }, { "port", port } });
+            settings["peers"].push_back(
+                { { "instance", id }, { "data_centre", m_processes.at(id).dataCentre },
+                    { "address", "127.0.0.1" }, { "port", port } });
     }
     std::ofstream(m_directory + "/" + instance + ".json") << settings.dump(2);
 }
@@ -338,8 +341,9 @@
         byWork[run["id"].get<std::string>()].push_back(run);
     std::vector<std::string> out;
     for (auto& [id, runs] : byWork) {
-        std::sort(runs.begin(), runs.end(),
-            [](const json& a, const json& b) { return a["start_us"].get<int64_t>() < b["start_us"].get<int64_t>(); });
+        std::sort(runs.begin(), runs.end(), [](const json& a, const json& b) {
+            return a["start_us"].get<int64_t>() < b["start_us"].get<int64_t>();
+        });
         for (size_t i = 0; i + 1 < runs.size(); i++) {
             bool overlap = !runs[i].contains("end_us")
                 || runs[i]["end_us"].get<int64_t>() > runs[i + 1]["start_us"].get<int64_t>();
--- a/tests/process/failure_test.cpp
+++ b/tests/process/failure_test.cpp
@@ -42,7 +42,8 @@
         header_list headers;
         if (!key.empty())
             headers.emplace_back("Idempotency-Key", key);
-        return d.call(d.entryPort(at), "POST", "/v1/work/plan", headers, "{\"work_ms\":" + std::to_string(ms) + "}");
+        return d.call(
+            d.entryPort(at), "POST", "/v1/work/plan", headers, "{\"work_ms\":" + std::to_string(ms) + "}");
     }
 
     raw_answer tally(const std::string& at, const std::string& key, int64_t ms = 5)
@@ -93,8 +94,8 @@
     r.d.kill("north-2");
     BOOST_TEST(r.allClosed({ "north-1", "north-3" }));
     for (const auto& id : ids) {
-        bool done = r.d.waitUntil(
-            settleMs, [&] { return r.d.call(r.d.entryPort("north-1"), "GET", "/v1/work/" + id).status == 200; });
+        bool done = r.d.waitUntil(settleMs,
+            [&] { return r.d.call(r.d.entryPort("north-1"), "GET", "/v1/work/" + id).status == 200; });
         BOOST_TEST(done, id);
     }
     r.d.restart("north-2");
@@ -115,8 +116,8 @@
     r.d.signal("north-1", SIGCONT);
     BOOST_TEST(r.allClosed({ "north-1", "north-2", "north-3" }));
     for (const auto& id : ids) {
-        bool done = r.d.waitUntil(
-            settleMs, [&] { return r.d.call(r.d.entryPort("north-1"), "GET", "/v1/work/" + id).status == 200; });
+        bool done = r.d.waitUntil(settleMs,
+            [&] { return r.d.call(r.d.entryPort("north-1"), "GET", "/v1/work/" + id).status == 200; });
         BOOST_TEST(done, id);
     }
     for (int i = 0; i < 6; i++)
@@ -130,7 +131,8 @@
     r.d.setPlatform({ { "log", "down" } });
     size_t served = 0;
     for (int i = 0; i < 40; i++)
-        served += r.plan("north-" + std::to_string(1 + i % 3), 5, i % 2 ? "p" + std::to_string(i) : "").status == 200;
+        served += r.plan("north-" + std::to_string(1 + i % 3), 5, i % 2 ? "p" + std::to_string(i) : "").status
+            == 200;
     BOOST_TEST(served == 40u);
     // The first request finds out that the log is down; it is refused and was not run.
     auto refused = r.tally("north-1", "during");
@@ -152,7 +154,8 @@
     r.d.setPlatform({ { "log", "up" } });
     auto answer = first.get();
     // The record is found in the log within the deadline, or the caller hears the truth.
-    BOOST_TEST((answer.status == 200 || reasonOf(answer) == "deadline_passed" || reasonOf(answer) == "outcome_unknown"),
+    BOOST_TEST((answer.status == 200 || reasonOf(answer) == "deadline_passed"
+                   || reasonOf(answer) == "outcome_unknown"),
         answer.bytes);
     auto retry = r.tally("north-2", "lost", 5);
     size_t runs = 0;
@@ -169,7 +172,8 @@
         r.d.setWorker(worker, { { "mute", true } });
     std::vector<std::future<raw_answer>> calls;
     for (int i = 0; i < 24; i++)
-        calls.push_back(std::async(std::launch::async, [&r, i] { return r.plan("north-" + std::to_string(1 + i % 3), 5); }));
+        calls.push_back(std::async(
+            std::launch::async, [&r, i] { return r.plan("north-" + std::to_string(1 + i % 3), 5); }));
     for (auto& each : calls)
         BOOST_TEST(each.get().status != 0, "every request is answered by its deadline");
     // The muted workers' leases lapse, and the others take everything.
@@ -224,7 +228,8 @@
         std::vector<std::future<int>> racers;
         for (int i = 0; i < 3; i++) {
             racers.push_back(std::async(std::launch::async, [&r, i, version, round] {
-                std::string body = R"({"name":"album","owner":"press","class":"batch","limits":{"concurrent":)"
+                std::string body
+                    = R"({"name":"album","owner":"press","class":"batch","limits":{"concurrent":)"
                     + std::to_string(100 + round * 10 + i) + "}}";
                 return r.d
                     .call(r.d.entryPort("north-" + std::to_string(1 + i)), "PUT", "/v1/catalogue/album",
@@ -257,7 +262,10 @@
     uint16_t port = r.d.entryPort("north-1");
     BOOST_TEST(r.d.send(port, "GARBAGE\r\n\r\n", 1000).status != 200);
     BOOST_TEST(r.d.send(port, std::string(200'000, 'A'), 1000).status != 200);
-    BOOST_TEST(r.d.send(port, "POST /v1/work/plan HTTP/1.1\r\nHost: h\r\nContent-Length: 100\r\n\r\nshort", 500).status != 200);
+    BOOST_TEST(
+        r.d.send(port, "POST /v1/work/plan HTTP/1.1\r\nHost: h\r\nContent-Length: 100\r\n\r\nshort", 500)
+            .status
+        != 200);
     auto big = r.d.call(port, "POST", "/v1/work/plan", {}, std::string(3'000'000, 'x'));
     BOOST_TEST(big.status == 413);
     std::vector<std::future<void>> slow;
@@ -270,7 +278,8 @@
         BOOST_TEST(r.plan("north-1", 2).status == 200);
     // A peer with a wrong key is refused and counted.
     auto handshake = r.d.send(static_cast<uint16_t>(port + 1),
-        "GET / HTTP/1.1\r\nHost: h\r\nUpgrade: websocket\r\nConnection: Upgrade\r\nSec-WebSocket-Version: 13\r\n"
+        "GET / HTTP/1.1\r\nHost: h\r\nUpgrade: websocket\r\nConnection: Upgrade\r\nSec-WebSocket-Version: "
+        "13\r\n"
         "Sec-WebSocket-Key: dGhlIHNhbXBsZSBub25jZQ==\r\nX-Camphorwell-Key: wrong\r\n\r\n",
         1500);
     BOOST_TEST(handshake.bytes.find("401") != std::string::npos, handshake.bytes);
--- a/tests/process/golden_test.cpp
+++ b/tests/process/golden_test.cpp
@@ -101,18 +101,22 @@
 {
     session s("route-plan");
     s.call("north-1", "POST", "/v1/work/route-plan", {}, R"({"n":7,"work_ms":5})");
-    s.call("north-2", "POST", "/v1/work/route-plan", { { "Idempotency-Key", "north/plan-7" } }, R"({"n":8,"work_ms":5})");
+    s.call("north-2", "POST", "/v1/work/route-plan", { { "Idempotency-Key", "north/plan-7" } },
+        R"({"n":8,"work_ms":5})");
     s.compare();
 }
 
 BOOST_AUTO_TEST_CASE(tally_payment)
 {
     session s("tally-payment");
-    s.call("north-1", "POST", "/v1/work/tally-payment", { { "Idempotency-Key", "north/tally-1" } }, R"({"n":1})");
+    s.call("north-1", "POST", "/v1/work/tally-payment", { { "Idempotency-Key", "north/tally-1" } },
+        R"({"n":1})");
     s.say("the same key through an instance of the other data centre gets the same answer");
-    s.call("south-1", "POST", "/v1/work/tally-payment", { { "Idempotency-Key", "north/tally-1" } }, R"({"n":1})");
+    s.call("south-1", "POST", "/v1/work/tally-payment", { { "Idempotency-Key", "north/tally-1" } },
+        R"({"n":1})");
     s.say("the same key with another body is refused");
-    s.call("north-2", "POST", "/v1/work/tally-payment", { { "Idempotency-Key", "north/tally-1" } }, R"({"n":2})");
+    s.call("north-2", "POST", "/v1/work/tally-payment", { { "Idempotency-Key", "north/tally-1" } },
+        R"({"n":2})");
     s.compare();
     size_t runs = 0;
     for (const auto& run : shared().d.history())
@@ -123,8 +127,8 @@
 BOOST_AUTO_TEST_CASE(album_proof)
 {
     session s("album-proof");
-    auto accepted = s.call("south-1", "POST", "/v1/work/album-proof", { { "Idempotency-Key", "north/album-1" } },
-        R"({"n":3,"work_ms":400})");
+    auto accepted = s.call("south-1", "POST", "/v1/work/album-proof",
+        { { "Idempotency-Key", "north/album-1" } }, R"({"n":3,"work_ms":400})");
     std::string id = workIdOf(accepted);
     auto& d = shared().d;
     bool done = d.waitUntil(
@@ -149,7 +153,8 @@
     s.call("north-1", "GET", "/v1/work/" + std::string("north~k~00000000000000000000000000000000"));
     s.call("north-1", "PUT", "/v1/catalogue/poster", { { "If-Match", "\"1\"" } },
         R"({"name":"poster","owner":"papelera-lanus","class":"batch"})");
-    s.call("north-1", "PUT", "/v1/catalogue/poster", { { "If-Match", "\"4\"" } }, R"({"name":"poster","class":"quick"})");
+    s.call("north-1", "PUT", "/v1/catalogue/poster", { { "If-Match", "\"4\"" } },
+        R"({"name":"poster","class":"quick"})");
     s.call("north-1", "POST", "/v1/work/route-plan", {}, std::string(70'000, 'x'));
     s.compare();
 }
--- a/tests/sim/world.cpp
+++ b/tests/sim/world.cpp
@@ -404,7 +404,8 @@
             m_log.append(m_now, act.stream, act.records);
             m_report.appends++;
             if (!loseAnswer)
-                feedLater(name, epoch, uniform(500, m_options.longQuickMs), append_reply { act.call, append_status::durable });
+                feedLater(name, epoch, uniform(500, m_options.longQuickMs),
+                    append_reply { act.call, append_status::durable });
         });
     }
 
--- a/tests/unit_test.cpp
+++ b/tests/unit_test.cpp
@@ -102,7 +102,8 @@
         for (int64_t offset = 0; offset < 30; offset++) {
             const auto* current = whole.find("plan");
             uint64_t base = random() % 3 == 0 ? random() % 30 : (current ? current->version : 0);
-            auto next = record(offset, "c" + std::to_string(offset), base, 1 + static_cast<int64_t>(random() % 100));
+            auto next = record(
+                offset, "c" + std::to_string(offset), base, 1 + static_cast<int64_t>(random() % 100));
             if (random() % 8 == 0)
                 next.body.clear();
             stream.push_back(next);
@@ -134,7 +135,8 @@
     std::set<std::string> paths;
     for (const auto& fault : faults)
         paths.insert(fault.path);
-    for (const char* path : { "/name", "/class", "/colour", "/owner", "/limits/cpuMilli", "/limits/concurrent" })
+    for (const char* path :
+        { "/name", "/class", "/colour", "/owner", "/limits/cpuMilli", "/limits/concurrent" })
         BOOST_TEST(paths.count(path) == 1u, "no fault names " << path);
 }
 
@@ -244,17 +246,20 @@
     auto at = [](int64_t ms) { return instant(ms * 1000); };
     BOOST_TEST((w.handle(at(0), start_call { 5, job }).verdict == worker_verdict::no_lease));
     BOOST_TEST((w.handle(at(0), lease_call { 5, "a#1", 1000, 3000, 0 }).verdict == worker_verdict::ok));
-    BOOST_TEST((w.handle(at(1), lease_call { 6, "b#1", 1000, 3000, 0 }).verdict == worker_verdict::held_by_other));
+    BOOST_TEST(
+        (w.handle(at(1), lease_call { 6, "b#1", 1000, 3000, 0 }).verdict == worker_verdict::held_by_other));
     BOOST_TEST((w.handle(at(1), start_call { 4, job }).verdict == worker_verdict::stale_token));
     BOOST_TEST((w.handle(at(1), start_call { 5, job }).verdict == worker_verdict::ok));
-    BOOST_TEST((w.handle(at(1500), lease_call { 4, "b#1", 1000, 3000, 0 }).verdict == worker_verdict::stale_token));
+    BOOST_TEST(
+        (w.handle(at(1500), lease_call { 4, "b#1", 1000, 3000, 0 }).verdict == worker_verdict::stale_token));
     BOOST_TEST((w.handle(at(1500), lease_call { 6, "b#1", 1000, 3000, 0 }).verdict == worker_verdict::ok));
     work other = job;
     other.id = "k";
     BOOST_TEST((w.handle(at(1500), start_call { 5, other }).verdict == worker_verdict::stale_token));
     auto revoked = w.handle(at(1500), revoke_call { 6, "k", 1 });
     BOOST_TEST((revoked.tasks.front().state == task_state::never_started));
-    BOOST_TEST((w.handle(at(1501), start_call { 6, other }).tasks.front().state == task_state::never_started));
+    BOOST_TEST(
+        (w.handle(at(1501), start_call { 6, other }).tasks.front().state == task_state::never_started));
 }
 
 BOOST_AUTO_TEST_CASE(a_worker_stops_tasks_when_nobody_renews)
