--- a/src/base/base.h
+++ b/src/base/base.h
@@ -55,16 +55,13 @@
 #define CAMPHORWELL_REASONS(X)                                                                               \
     X(bad_request, refusal, 400, false, no, "the request line, a header or the body is malformed")           \
     X(body_too_large, refusal, 413, false, no, "the body exceeds the limit in the settings")                 \
-    X(request_timeout, refusal, 408, true, no, "the request did not arrive whole in time")                   \
     X(unknown_entry, refusal, 404, false, no, "the catalogue has no entry of that name")                     \
     X(unknown_work, refusal, 404, false, unknown, "no work of that id is known, or its answer has expired")  \
     X(key_required, refusal, 400, false, no, "a non-idempotent entry requires an Idempotency-Key")           \
     X(key_reused, refusal, 422, false, no, "the key was used before with another body")                      \
     X(impossible_size, refusal, 422, false, no, "the entry needs more than any worker has")                  \
     X(entry_limit, refusal, 429, true, no, "the entry's limit of concurrent work is reached")                \
-    X(owner_limit, refusal, 429, true, no, "the owner's limit of concurrent work is reached")                \
     X(queue_full, refusal, 503, true, no, "the queue of waiting work is full")                               \
-    X(deadline_unmeetable, refusal, 503, true, no, "the work ahead cannot finish before the deadline")       \
     X(deadline_passed, refusal, 504, true, no, "the deadline passed before the work started")                \
     X(shutting_down, refusal, 503, true, no, "the instance is leaving")                                      \
     X(not_ready, refusal, 503, true, no, "the instance has no catalogue or view yet")                        \
@@ -78,7 +75,6 @@
     X(task_failed, refusal, 502, false, yes, "the task ran and failed")                                      \
     X(version_conflict, refusal, 412, false, no, "the catalogue entry has a newer version than the base")    \
     X(no_room, retry, 503, true, no, "no worker has room now; the work waits")                               \
-    X(retry_not_holder, retry, 503, true, no, "the instance no longer holds the worker")                     \
     X(retry_stale_view, retry, 503, true, no, "the start carried another view than the holder's")            \
     X(retry_worker_lost, retry, 503, true, unknown, "the worker's lease lapsed while the task ran")          \
     X(retry_evicted, retry, 503, true, unknown, "the task was checkpointed and gave way to urgent work")     \
--- /dev/null
+++ b/src/load/main.cpp
@@ -0,0 +1,308 @@
+// camphorwell-load: an open-loop load generator and experiment tool.
+//
+// Requests are sent at Poisson times that do not depend on the answers, and each latency counts from the
+// time the request was due, so that a slow server cannot hide its own delay. With --direct the same
+// schedule goes to a stand-in worker's /run in turn, to show what an entry instance adds.
+#include "net/net.h"
+
+#include <algorithm>
+#include <cmath>
+#include <fstream>
+#include <getopt.h>
+#include <iostream>
+#include <nlohmann/json.hpp>
+#include <random>
+
+namespace {
+
+using namespace camphorwell;
+using nlohmann::json;
+
+constexpr const char* helpText
+    = "usage: camphorwell-load --target ADDRESS:PORT [--direct ADDRESS:PORT] [options]\n"
+      "\n"
+      "  --entry NAME        catalogue entry to call; default route-plan\n"
+      "  --rate N            requests a second; default 100\n"
+      "  --seconds N         length of the run; default 10\n"
+      "  --work-ms N         run time that each request asks for; default 0\n"
+      "  --keyed             give every request an Idempotency-Key of its own\n"
+      "  --home NAME         data centre that the keys name; default none\n"
+      "  --seed N            seed of the schedule; default 1\n"
+      "  --direct ADDR:PORT  alternate with direct calls to a stand-in worker\n"
+      "  --out FILE          results as JSON; default none\n"
+      "  --plot FILE         SVG of latency over time; default none\n"
+      "  --help              this text\n"
+      "\n"
+      "exit codes: 0 done, 2 wrong usage\n";
+
+constexpr size_t connections = 256; // To each target.
+constexpr int64_t answerMs = 10'000;
+constexpr int64_t warmUpMs = 1000; // Not counted.
+
+struct endpoint {
+    std::string address;
+    uint16_t port = 0;
+};
+
+struct load_options {
+    endpoint target;
+    endpoint direct;
+    std::string entry = "route-plan";
+    double rate = 100;
+    int64_t seconds = 10;
+    int64_t workMs = 0;
+    bool keyed = false;
+    std::string home;
+    uint64_t seed = 1;
+    std::string out;
+    std::string plot;
+};
+
+struct sample {
+    double at = 0; // Seconds since the start, when the request was due.
+    double seconds = 0; // From the due time to the answer.
+    int status = 0;
+};
+
+struct series {
+    std::vector<sample> samples;
+    std::map<int, uint64_t> statuses;
+};
+
+endpoint parseEndpoint(const std::string& text)
+{
+    size_t colon = text.rfind(':');
+    if (colon == std::string::npos) {
+        std::cerr << "camphorwell-load: " << text << ": must be ADDRESS:PORT\n";
+        std::exit(2);
+    }
+    return { text.substr(0, colon), static_cast<uint16_t>(std::atoi(text.c_str() + colon + 1)) };
+}
+
+load_options parseArguments(int argc, char** argv)
+{
+    const option longOptions[] = { { "target", required_argument, nullptr, 't' },
+        { "direct", required_argument, nullptr, 'd' }, { "entry", required_argument, nullptr, 'e' },
+        { "rate", required_argument, nullptr, 'r' }, { "seconds", required_argument, nullptr, 's' },
+        { "work-ms", required_argument, nullptr, 'w' }, { "keyed", no_argument, nullptr, 'k' },
+        { "home", required_argument, nullptr, 'm' }, { "seed", required_argument, nullptr, 'x' },
+        { "out", required_argument, nullptr, 'o' }, { "plot", required_argument, nullptr, 'p' },
+        { "help", no_argument, nullptr, 'h' }, { nullptr, 0, nullptr, 0 } };
+    load_options out;
+    int chosen = 0;
+    while ((chosen = getopt_long(argc, argv, "", longOptions, nullptr)) != -1) {
+        std::string value = optarg ? optarg : "";
+        switch (chosen) {
+        case 't':
+            out.target = parseEndpoint(value);
+            break;
+        case 'd':
+            out.direct = parseEndpoint(value);
+            break;
+        case 'e':
+            out.entry = value;
+            break;
+        case 'r':
+            out.rate = std::stod(value);
+            break;
+        case 's':
+            out.seconds = std::stoll(value);
+            break;
+        case 'w':
+            out.workMs = std::stoll(value);
+            break;
+        case 'k':
+            out.keyed = true;
+            break;
+        case 'm':
+            out.home = value;
+            break;
+        case 'x':
+            out.seed = std::stoull(value);
+            break;
+        case 'o':
+            out.out = value;
+            break;
+        case 'p':
+            out.plot = value;
+            break;
+        case 'h':
+            std::cout << helpText;
+            std::exit(0);
+        default:
+            std::cerr << helpText;
+            std::exit(2);
+        }
+    }
+    if (out.target.port == 0) {
+        std::cerr << helpText;
+        std::exit(2);
+    }
+    return out;
+}
+
+double quantile(const series& of, double q)
+{
+    std::vector<double> values;
+    for (const auto& each : of.samples) {
+        if (each.status >= 200 && each.status < 300)
+            values.push_back(each.seconds);
+    }
+    if (values.empty())
+        return 0;
+    std::sort(values.begin(), values.end());
+    auto index = static_cast<size_t>(std::ceil(q * static_cast<double>(values.size()))) - 1;
+    return values[std::min(index, values.size() - 1)];
+}
+
+class load_run {
+public:
+    load_run(event_loop& loop, const load_options& options)
+        : m_loop(loop)
+        , m_options(options)
+        , m_target(loop, options.target.address, options.target.port, connections)
+        , m_random(options.seed)
+    {
+        if (options.direct.port != 0)
+            m_direct = std::make_unique<http_client>(
+                loop, options.direct.address, options.direct.port, connections);
+    }
+
+    void start()
+    {
+        m_start = event_loop::now();
+        m_due = m_start;
+        m_loop.every(1, [this] { sendDue(); });
+        m_loop.after(m_options.seconds * 1000 + answerMs, [this] { m_loop.stop(); });
+    }
+
+    const series& entrySeries() const { return m_entry; }
+    const series& directSeries() const { return m_directSeries; }
+
+private:
+    void sendDue()
+    {
+        instant end = m_start + milliseconds(m_options.seconds * 1000);
+        while (m_due <= event_loop::now() && m_due < end) {
+            sendOne(m_due);
+            double gap = std::exponential_distribution<double>(m_options.rate)(m_random);
+            m_due += instant(static_cast<int64_t>(gap * 1e6));
+        }
+        if (m_due >= end && m_open == 0)
+            m_loop.stop();
+    }
+
+    void sendOne(instant due)
+    {
+        m_count++;
+        bool direct = m_direct && m_count % 2 == 0;
+        std::string body
+            = "{\"n\":" + std::to_string(m_count) + ",\"work_ms\":" + std::to_string(m_options.workMs) + "}";
+        header_list headers = { { "Content-Type", "application/json" } };
+        if (m_options.keyed) {
+            std::string prefix = m_options.home.empty() ? "" : m_options.home + "/";
+            headers.emplace_back("Idempotency-Key",
+                prefix + "load-" + std::to_string(m_options.seed) + "-" + std::to_string(m_start.count())
+                    + "-" + std::to_string(m_count));
+        }
+        m_open++;
+        auto& client = direct ? *m_direct : m_target;
+        std::string path = direct ? "/run" : "/v1/work/" + m_options.entry;
+        // The schedule's own lateness counts too, but a tick of the timer does not: a request is due when
+        // sent unless the generator itself fell behind.
+        instant sent = event_loop::now();
+        instant from = sent - due > milliseconds(5) ? due : sent;
+        client.call(
+            "POST", path, headers, body, answerMs, [this, direct, from, due](const http_response& answer) {
+                m_open--;
+                record(direct ? m_directSeries : m_entry, from, due, answer.status);
+            });
+    }
+
+    void record(series& into, instant from, instant due, int status)
+    {
+        if (due - m_start < milliseconds(warmUpMs))
+            return;
+        sample taken;
+        taken.at = static_cast<double>((due - m_start).count()) / 1e6;
+        taken.seconds = static_cast<double>((event_loop::now() - from).count()) / 1e6;
+        taken.status = status;
+        into.samples.push_back(taken);
+        into.statuses[status]++;
+    }
+
+    event_loop& m_loop;
+    const load_options& m_options;
+    http_client m_target;
+    std::unique_ptr<http_client> m_direct;
+    std::mt19937_64 m_random;
+    instant m_start { 0 };
+    instant m_due { 0 };
+    uint64_t m_count = 0;
+    int64_t m_open = 0;
+    series m_entry;
+    series m_directSeries;
+};
+
+json summary(const series& of)
+{
+    json out = { { "requests", of.samples.size() }, { "p50_ms", quantile(of, 0.5) * 1e3 },
+        { "p90_ms", quantile(of, 0.9) * 1e3 }, { "p99_ms", quantile(of, 0.99) * 1e3 },
+        { "p999_ms", quantile(of, 0.999) * 1e3 }, { "statuses", json::object() } };
+    for (const auto& [status, count] : of.statuses)
+        out["statuses"][std::to_string(status)] = count;
+    return out;
+}
+
+// One dot for each second and quantile; the vertical axis is the logarithm of milliseconds.
+void plot(const series& of, int64_t seconds, const std::string& file)
+{
+    constexpr double width = 800;
+    constexpr double height = 300;
+    constexpr double decades = 5; // From 0.1 ms to 10 s.
+    std::ofstream out(file);
+    out << "<svg xmlns=\"http://www.w3.org/2000/svg\" width=\"" << width << "\" height=\"" << height
+        << "\"><rect width=\"100%\" height=\"100%\" fill=\"white\"/>\n";
+    auto y = [&](double ms) { return height - (std::log10(std::max(ms, 0.1)) + 1) / decades * height; };
+    for (double ms : { 0.1, 1.0, 10.0, 100.0, 1000.0 })
+        out << "<text x=\"2\" y=\"" << y(ms) << "\" font-size=\"10\">" << ms << " ms</text>\n";
+    for (int64_t second = 0; second < seconds; second++) {
+        series slice;
+        for (const auto& each : of.samples) {
+            if (static_cast<int64_t>(each.at) == second)
+                slice.samples.push_back(each);
+        }
+        if (slice.samples.empty())
+            continue;
+        double x = 50 + (width - 60) * static_cast<double>(second) / static_cast<double>(seconds);
+        out << "<circle cx=\"" << x << "\" cy=\"" << y(quantile(slice, 0.5) * 1e3)
+            << "\" r=\"2\" fill=\"blue\"/>\n";
+        out << "<circle cx=\"" << x << "\" cy=\"" << y(quantile(slice, 0.99) * 1e3)
+            << "\" r=\"2\" fill=\"red\"/>\n";
+    }
+    out << "<text x=\"600\" y=\"12\" font-size=\"10\">blue p50, red p99</text></svg>\n";
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    load_options options = parseArguments(argc, argv);
+    event_loop loop;
+    load_run run(loop, options);
+    run.start();
+    loop.run();
+    json out
+        = { { "entry", summary(run.entrySeries()) }, { "rate", options.rate }, { "seed", options.seed } };
+    if (options.direct.port != 0) {
+        out["direct"] = summary(run.directSeries());
+        out["added_p50_ms"] = (quantile(run.entrySeries(), 0.5) - quantile(run.directSeries(), 0.5)) * 1e3;
+        out["added_p99_ms"] = (quantile(run.entrySeries(), 0.99) - quantile(run.directSeries(), 0.99)) * 1e3;
+    }
+    std::cout << out.dump(2) << "\n";
+    if (!options.out.empty())
+        std::ofstream(options.out) << out.dump(2) << "\n";
+    if (!options.plot.empty())
+        plot(run.entrySeries(), options.seconds, options.plot);
+    return 0;
+}
