--- a/src/coordination/process/holder.cpp
+++ b/src/coordination/process/holder.cpp
@@ -32,6 +32,8 @@
 
 void holder::expire()
 {
+    if (m_context.now < m_nextExpiry)
+        return;
     for (auto& [id, record] : m_workers) {
         if (record.lease != lease_state::held || m_context.now < record.leaseEnds)
             continue;
@@ -47,6 +49,12 @@
         m_stale = true;
         m_members.sawNumber(m_members.promised().id.number + 1);
     }
+    // Renewals only move the ends later; taking or losing a worker sets this back.
+    m_nextExpiry = instant::max();
+    for (const auto& [id, record] : m_workers) {
+        if (record.lease == lease_state::held)
+            m_nextExpiry = std::min(m_nextExpiry, record.leaseEnds);
+    }
 }
 
 bool holder::heldUnderView(const worker_record& record) const
@@ -58,6 +66,7 @@
 
 void holder::loseLease(worker_record& record)
 {
+    m_nextExpiry = instant(0);
     record.lease = lease_state::none;
     record.usable = false;
     record.leaseCall = 0;
@@ -93,6 +102,7 @@
 {
     m_stale = false;
     m_heldAny = false;
+    m_nextExpiry = instant(0);
     for (auto& [id, record] : m_workers) {
         record.confirmedBy.clear();
         record.retake = record.lease == lease_state::held;
@@ -193,6 +203,7 @@
     adopt(record, *reply, fresh);
     if (!fresh)
         return;
+    m_nextExpiry = instant(0);
     record.confirmedBy.clear();
     record.takenUnder = m_members.promised().id;
     m_context.log(log_line("worker_taken")
@@ -417,20 +428,19 @@
 // Answers a start that has come before; returns false for a new one.
 bool holder::answerRepeated(const instance_id& from, const work& wanted)
 {
+    auto past = m_pastStarts.find({ wanted.id, wanted.attempt });
+    if (past == m_pastStarts.end())
+        return false;
+    if (past->second.refused) {
+        m_context.send(from, start_refused { wanted.id, wanted.attempt, reason::retry_never_started });
+        return true;
+    }
     for (auto& [id, record] : m_workers) {
         task* known = findTask(record, wanted.id, wanted.attempt);
-        if (!known)
-            continue;
-        if (known->phase == task_phase::running || known->phase == task_phase::ended)
+        if (known && (known->phase == task_phase::running || known->phase == task_phase::ended))
             m_context.send(from, task_update { m_members.promised().id, known->report });
-        return true;
     }
-    auto past = m_pastStarts.find({ wanted.id, wanted.attempt });
-    if (past == m_pastStarts.end())
-        return false;
     // A start that was accepted and has left with its worker is reported by the new holder.
-    if (past->second.refused)
-        m_context.send(from, start_refused { wanted.id, wanted.attempt, reason::retry_never_started });
     return true;
 }
 
--- a/src/coordination/process/holder.h
+++ b/src/coordination/process/holder.h
@@ -137,6 +137,7 @@
     std::map<std::pair<work_id, uint64_t>, past_start> m_pastStarts;
     std::deque<std::pair<instant, std::pair<work_id, uint64_t>>> m_pastOrder;
     uint64_t m_tokenFloor = 0;
+    instant m_nextExpiry { 0 }; // No lease ends before this.
     bool m_unbroken = false;
     bool m_heldAny = false; // Some worker was taken under the promised view.
     bool m_stale = false;
--- a/src/coordination/request/ledger.cpp
+++ b/src/coordination/request/ledger.cpp
@@ -8,6 +8,7 @@
 
 namespace {
 
+    constexpr int64_t scanMs = 40; // Between looks at every deadline and resend time.
     constexpr size_t historyLength = 16; // Notes kept for each piece of work.
 
 } // namespace
@@ -414,6 +415,9 @@
     }
     resolveDoubts();
     recoverAll();
+    if (m_context.now < m_nextScan)
+        return;
+    m_nextScan = m_context.now + milliseconds(scanMs);
     std::vector<work_id> overdue;
     for (auto& [id, it] : m_items) {
         if (!it.work.batch && !it.expired && it.known && m_context.now >= it.deadline)
--- a/src/coordination/request/ledger.h
+++ b/src/coordination/request/ledger.h
@@ -171,6 +171,7 @@
     std::deque<work_id> m_overOrder;
     std::vector<bool> m_tenured;
     std::vector<bool> m_compared; // Shards for which the log holds nothing that is not known here.
+    instant m_nextScan { 0 };
     bool m_wasClosed = false;
     bool m_scanned = false; // The log was compared with the items under this view.
     size_t m_placedCount = 0;
--- a/src/entry/request/http_api.cpp
+++ b/src/entry/request/http_api.cpp
@@ -147,7 +147,7 @@
             ready ? 200 : 503, { { "Content-Type", "text/plain" } }, ready ? "ready\n" : "not ready\n");
     } else if (asked.path == "/v1/drain" && asked.method == "POST") {
         text("draining\n");
-        loop.after(0, [this] { raise(SIGTERM); });
+        loop.after(0, [] { raise(SIGTERM); });
     } else {
         metrics.countConnection(reason::bad_request);
         refuse(reply, { reason::bad_request, "no such path: " + asked.path.substr(0, 100) }, {});
--- a/tests/sim/world.cpp
+++ b/tests/sim/world.cpp
@@ -665,7 +665,8 @@
         n.up = false;
         n.core.reset();
         dropCallers(name);
-        for (const auto& [other, o] : m_nodes) {
+        for (const auto& item : m_nodes) {
+            std::string other = item.first;
             if (other != name && chance(0.7))
                 afterUs(uniform(100, 5000), [this, other, name] { feed(other, peer_down { name }); });
         }
