Start only on workers that stay; lost attempts of others count

Change: starts go only to workers assigned under the promised view; a lost attempt ends waiting work that must not run twice as unknown.

--- a/src/coordination/process/holder.cpp
+++ b/src/coordination/process/holder.cpp
@@ -78,11 +78,16 @@
 {
     bool active = m_members.inView();
     for (const auto& id : m_members.listedWorkers()) {
-        if (active && m_members.promised().holderOf(id) == m_context.options.self.id)
-            m_workers.try_emplace(id).first->second.id = id;
+        if (!active || m_workers.count(id))
+            continue;
+        if (m_members.promised().holderOf(id) != m_context.options.self.id)
+            continue;
+        worker_record& record = m_workers[id];
+        record.id = id;
+        record.mine = true;
     }
     for (auto& [id, record] : m_workers) {
-        bool mine = active && m_members.promised().holderOf(id) == m_context.options.self.id;
+        bool mine = active && record.mine;
         bool mayAsk = record.lease == lease_state::held || !m_stale;
         if (record.lease == lease_state::held && !mine)
             release(record);
@@ -98,12 +103,18 @@
     }
 }
 
+void holder::refreshAssignment(worker_record& record)
+{
+    record.mine = m_members.inView() && m_members.promised().holderOf(record.id) == m_context.options.self.id;
+}
+
 void holder::onNewView()
 {
     m_stale = false;
     m_heldAny = false;
     m_nextExpiry = instant(0);
     for (auto& [id, record] : m_workers) {
+        refreshAssignment(record);
         record.confirmedBy.clear();
         record.retake = record.lease == lease_state::held;
         record.nextAsk = m_context.now;
@@ -384,10 +395,12 @@
 
 bool holder::takesNew(const worker_record& record) const
 {
+    // A worker that is about to be handed over would take the start with it.
+    bool held = record.usable && record.mine && record.lease == lease_state::held;
     if (m_context.has(fault::leaving_still_used))
-        return record.usable && record.lease == lease_state::held;
-    return record.usable && record.lease == lease_state::held && m_members.isListed(record.id)
-        && !record.leaving && !m_members.workerLeaving(record.id) && m_context.now >= record.quarantinedUntil;
+        return held;
+    return held && m_members.isListed(record.id) && !record.leaving && !m_members.workerLeaving(record.id)
+        && m_context.now >= record.quarantinedUntil;
 }
 
 holder::worker_record* holder::choose(const work& wanted)
--- a/src/coordination/process/holder.h
+++ b/src/coordination/process/holder.h
@@ -65,6 +65,7 @@
         lease_state lease = lease_state::none;
         uint64_t token = 0;
         bool usable = false;
+        bool mine = false; // Assigned to this instance under the promised view.
         bool leaving = false; // By the worker's own word.
         bool wasHeld = false; // Held at least once and not taken by another since.
         bool retake = false; // Held under an earlier view; to be taken again.
@@ -111,6 +112,7 @@
     bool confirmedByAll(const worker_record&) const;
     uint64_t nextToken();
     void loseLease(worker_record&);
+    void refreshAssignment(worker_record&);
     bool heldUnderView(const worker_record&) const;
     void onRefused(worker_record&, const worker_answer&);
     void sendUpdate(task&);
--- a/src/coordination/request/ledger_outcomes.cpp
+++ b/src/coordination/request/ledger_outcomes.cpp
@@ -226,10 +226,13 @@
         setPhase(it, at);
         return;
     }
-    // "Lost" is only believed of the holder that this view knows for the task.
+    // "Lost" is only believed of the holder that this view knows for the task. Waiting work that must not run
+    // twice learns from it that an attempt was started.
     if (report.state == task_state::lost) {
         const auto* at = std::get_if<placed>(&it.phase);
-        if (id != m_members.promised().id || !at || at->holder.id != from)
+        bool known = at && at->holder.id == from;
+        bool warned = !at && !it.work.idempotent;
+        if (id != m_members.promised().id || (!known && !warned))
             return;
     }
     bool durableFirst = it.journaled && report.state != task_state::never_started;
@@ -252,6 +255,9 @@
     const auto* at = std::get_if<placed>(&it.phase);
     bool undecided = !at || !at->acknowledged;
     bool alive = report.state == task_state::running || report.state == task_state::done;
+    // Another owner's attempt that was lost matters to work that must not run twice.
+    if (!over && !at && !it.work.idempotent && report.state == task_state::lost)
+        return true;
     if (over || !undecided || !alive || id != m_members.promised().id) {
         if (report.state != task_state::running)
             keepUpdate(from, report); // Late news of an attempt that is over.
