--- a/tests/sim/sim_test.cpp
+++ b/tests/sim/sim_test.cpp
@@ -86,9 +86,8 @@
         { fault::book_over_capacity, "book_over_capacity", 1, 2 },
         { fault::resume_twice, "resume_twice", 1, 3 },
         { fault::refuse_after_start, "refuse_after_start", 1, 2 },
-        { fault::reuse_lapsed_lease, "reuse_lapsed_lease", 1, 12 },
+        { fault::reuse_lapsed_lease, "reuse_lapsed_lease", 24, 13 },
         { fault::accept_before_durable, "accept_before_durable", 1, 3 },
-        { fault::skip_confirmation, "skip_confirmation", 101, 1 },
         { fault::catalogue_reverts, "catalogue_reverts", 1, 2 },
         { fault::leaving_still_used, "leaving_still_used", 1, 4 },
     };
--- a/tests/unit_test.cpp
+++ b/tests/unit_test.cpp
@@ -45,6 +45,123 @@
         { "platform", { { "address", "127.0.0.1" }, { "port", 8082 } } } };
 }
 
+// A node "a" and its peer "b", whose part the test plays, with one worker that "a" should hold.
+class two_members {
+public:
+    explicit two_members(fault deliberate)
+        : m_worker("w1", { 4000, 4000, 0, 4 })
+    {
+        node_options options;
+        options.self = { "a", 1, false };
+        options.dataCentre = "dc";
+        options.peers = { "b" };
+        options.deliberate = deliberate;
+        m_node = std::make_unique<node>(options, 1);
+        view both;
+        both.members = { { "a", 1, false }, { "b", 1, false } };
+        for (int i = 0; both.holderOf(m_name) != "a"; i++)
+            m_name = "w" + std::to_string(i);
+        m_list.workers.push_back({ m_name, "r", false });
+        feed(m_list);
+    }
+
+    // Runs for `ms`, with heartbeats from "b"; "b" acknowledges every view.
+    void run(int64_t ms)
+    {
+        for (int64_t passed = 0; passed < ms; passed += 20) {
+            m_now += milliseconds(20);
+            heartbeat beat;
+            beat.promised = m_view;
+            fromB(beat);
+            feed(tick {});
+        }
+    }
+
+    void submit()
+    {
+        submission given;
+        given.ticket = 1;
+        given.request.entry = "plan";
+        given.request.body = "{}";
+        given.request.deadlineMs = 60'000;
+        feed(given);
+    }
+
+    void confirm() { fromB(worker_confirmed { m_view, m_name }); }
+    bool taken() const { return m_taken; }
+    int starts() const { return m_starts; }
+
+private:
+    void fromB(message body) { feed(peer_message { { "b", 1, false }, "dc", std::move(body) }); }
+
+    void feed(const camphorwell::event& what)
+    {
+        for (auto& each : m_node->handle(m_now, what))
+            std::visit([this](auto& act) { perform(act); }, each);
+    }
+
+    void perform(send_action& act)
+    {
+        if (const auto* next = std::get_if<propose>(&act.message)) {
+            m_view = next->view.id;
+            m_pending.push_back([this] { fromB(acknowledge { m_view }); });
+        }
+        if (const auto* asked = std::get_if<start_work>(&act.message)) {
+            start_refused full { asked->work.id, asked->work.attempt, reason::no_room, false };
+            m_pending.push_back([this, full] { fromB(full); });
+        }
+        m_taken = m_taken || std::holds_alternative<worker_taken>(act.message);
+        settle();
+    }
+    void perform(call_action& act)
+    {
+        m_starts += std::holds_alternative<start_call>(act.what) ? 1 : 0;
+        worker_answer given = m_worker.handle(m_now, act.what);
+        m_pending.push_back([this, call = act.call, given] { feed(worker_reply { call, given }); });
+        settle();
+    }
+    void perform(read_action& act)
+    {
+        read_reply reply;
+        reply.call = act.call;
+        reply.ok = reply.atEnd = true;
+        if (act.stream == "catalogue" && act.from == 0) {
+            catalogue_record entry = record(0, "c", 0, 10);
+            entry.body = R"({"name":"plan","owner":"o","class":"latency-critical"})";
+            reply.records.push_back({ 0, toJson(entry).dump() });
+        }
+        reply.next = 1;
+        m_pending.push_back([this, reply] { feed(reply); });
+        settle();
+    }
+    template <typename Other> void perform(Other&) { }
+
+    // Answers come after the event that asked for them.
+    void settle()
+    {
+        if (m_settling)
+            return;
+        m_settling = true;
+        while (!m_pending.empty()) {
+            auto next = m_pending.front();
+            m_pending.erase(m_pending.begin());
+            next();
+        }
+        m_settling = false;
+    }
+
+    std::unique_ptr<node> m_node;
+    worker_model m_worker;
+    worker_id m_name = "w1";
+    platform_list m_list;
+    view_id m_view;
+    instant m_now { 0 };
+    bool m_taken = false;
+    int m_starts = 0;
+    bool m_settling = false;
+    std::vector<std::function<void()>> m_pending;
+};
+
 std::vector<field_error> faultsOf(const json& settings)
 {
     std::vector<field_error> out;
@@ -278,3 +395,23 @@
     w.advance(at(3001));
     BOOST_TEST(w.runningCount() == 0u);
 }
+
+// A worker taken under a view is used once every member has confirmed it, not before.
+BOOST_AUTO_TEST_CASE(a_new_worker_waits_for_every_confirmation)
+{
+    two_members world(fault::none);
+    world.run(4000);
+    BOOST_TEST(world.taken());
+    world.submit();
+    world.run(500);
+    BOOST_TEST(world.starts() == 0);
+    world.confirm();
+    world.run(100);
+    BOOST_TEST(world.starts() == 1);
+
+    two_members faulty(fault::skip_confirmation);
+    faulty.run(4000);
+    faulty.submit();
+    faulty.run(500);
+    BOOST_TEST(faulty.starts() == 1, "the check above can fail");
+}
