A started instance waits for the first word of another data centre

Change: such requests wait, up to their deadline, until some instance of that data centre was heard once.

--- a/src/coordination/request/router.cpp
+++ b/src/coordination/request/router.cpp
@@ -109,7 +109,9 @@
                                    : reason::not_ready;
         entry.nextTry = m_context.now + milliseconds(unsettledPauseMs);
         // Waiting does not bring back a cut-off data centre or an instance that is gone.
-        if (remote || entry.lastRefusal == reason::unknown_work) {
+        // An instance that has just started waits for the first word of the others.
+        bool heardBefore = m_heardCentres.count(homeOfWork(entry.request.id)) != 0;
+        if ((remote && heardBefore) || entry.lastRefusal == reason::unknown_work) {
             bool possible = entry.unresolved > 0 && entry.request.verb == verb::submit;
             reason code = possible ? reason::outcome_unknown : entry.lastRefusal;
             deliver(ticket, refusedAnswer(entry.request.id, code, "home of work " + entry.request.id));
@@ -271,6 +273,7 @@
 
 void router::onRemoteHeard(const std::string& dataCentre, const member& from, const heartbeat& beat)
 {
+    m_heardCentres.insert(dataCentre);
     m_remote[from.id] = { from.incarnation, dataCentre, m_context.now, beat.catalogueNext };
 }
 
--- a/src/coordination/request/router.h
+++ b/src/coordination/request/router.h
@@ -87,6 +87,7 @@
     std::map<peer_origin, std::optional<answer>> m_answered;
     std::deque<std::pair<instant, peer_origin>> m_answeredOrder;
     std::map<instance_id, remote_peer> m_remote;
+    std::set<std::string> m_heardCentres; // Data centres of which some instance was ever heard.
     uint64_t m_nextSend;
     uint64_t m_nextTicket = 1;
     uint64_t m_nextUnkeyed = 1;
