--- /dev/null
+++ b/src/jobs/process/cell.h
@@ -0,0 +1,87 @@
+// A cell: a set of workers with the jobs that run on them, as its one owner sees it. See jobs.h for its use.
+//
+// The parts of the class, a file each:
+//   cell.cpp          jobs: acceptance, cancelling, steps that open, terminal states, what callers are told
+//   cell_progress.cpp records of progress, the write barrier, what a new owner restores
+//   cell_workers.cpp  leases, looks at workers, ends, lost workers
+//   cell_placing.cpp  order of work, choice of workers
+//   cell_sharing.cpp  fillers beside serving tasks: pace, stop
+//   cell_model.h      the state itself
+#pragma once
+
+#include "jobs/jobs.h"
+
+namespace camphorwell {
+
+struct cell_settings {
+    ms leaseMs = 5000; // A worker kills what runs there when it has not heard from the owner for so long.
+    ms maxLeaseMs = 6000; // The worker's own bound.
+    ms priorGrantMs = 6000; // How long an earlier owner may have granted leases after its last proof.
+    ms stopMs = 200; // A stop takes at most so long.
+    ms lookWaitMs = 1000; // A look at a worker waits so long for an end.
+    ms keepMs = 120'000; // A finished job is known for so long.
+    ms paceMs = 100; // A change of pace is in effect after so long.
+    int advisedAtOnce = 30; // Workers named in one call for advice.
+    double remoteFactor = 1.5; // Work far from its data takes so many times as long.
+};
+
+struct write_batch {
+    std::vector<progress_record> records;
+};
+
+struct cell_model;
+
+class cell {
+public:
+    cell(cell_settings, std::shared_ptr<const queue_table>, decision_log);
+    ~cell();
+    cell(const cell&) = delete;
+    cell& operator=(const cell&) = delete;
+
+    // What an earlier owner recorded; before `begin` and before the jobs themselves are added.
+    void restoreProgress(const job_id&, std::string_view bytes);
+    void begin(ms now, int64_t unixMs);
+
+    // The log. The first record of an id wins; a cancel counts also before it.
+    void addJob(const job_id&, const job_record&);
+    void cancel(const job_id&);
+
+    void setQueues(std::shared_ptr<const queue_table>);
+    void setWorker(const worker_record&, ms now);
+    void removeWorker(const worker_id&, ms now);
+    void setMayGrant(bool);
+
+    // Answers to actions. `sentAt` is when the action was carried out.
+    void onStarted(const start_action&, order_outcome, ms now);
+    void onStopped(const stop_action&, order_outcome, ms now);
+    void onReport(const worker_id&, const worker_report&, ms sentAt, ms now);
+    void onLookFailed(const worker_id&, order_outcome, ms now);
+    void onAdvice(const task_ref& step, const std::vector<worker_id>& asked,
+        const std::vector<advised_worker>& good, ms now);
+    void onAdviceFailed(const task_ref& step, ms now);
+
+    // The records to append next, if there are any and none are under way.
+    std::optional<write_batch> takeWrite(ms now);
+    void onWritten(ms now);
+
+    void tick(ms now, int64_t unixMs);
+    std::vector<action> takeActions();
+    // A worker has seen a higher token: somebody else owns the cell.
+    bool fenced() const;
+
+    // Nothing when the job is not known.
+    std::optional<job_state> stateOf(const job_id&) const;
+    // Accepted jobs of the queue of which no task has started.
+    int64_t pending(const std::string& queue) const;
+
+    struct figures {
+        int64_t workers = 0, reachable = 0, jobs = 0, waitingTasks = 0, runningTasks = 0;
+        int64_t cpuBooked = 0, cpuTotal = 0, cpuFillers = 0;
+    };
+    figures count() const;
+
+private:
+    std::unique_ptr<cell_model> m_model;
+};
+
+} // namespace camphorwell
--- /dev/null
+++ b/src/jobs/process/cell_model.h
@@ -0,0 +1,240 @@
+// The state of a cell, shared by the files of the class and by nothing else.
+#pragma once
+
+#include "jobs/jobs.h"
+
+#include <deque>
+
+namespace camphorwell {
+
+// planned: its record is not durable yet, no order was sent. ordered: the start is not answered yet.
+// restored: recorded by an earlier owner, and the worker has not reported since. doomed: it must end, and
+// nothing else may run for its task until it has.
+enum class copy_phase : uint8_t { planned, ordered, restored, running, doomed };
+
+struct worker_state;
+struct step_run;
+struct job_run;
+
+// One run of a task on one worker.
+struct task_copy {
+    uint32_t run = 0;
+    worker_state* on = nullptr;
+    copy_phase phase = copy_phase::planned;
+    bool ordered = false; // A start may have been sent.
+    ms answeredAt = 0; // When the worker answered the start.
+    ms stopSentAt = 0;
+    ms stopAnsweredAt = 0;
+    uint64_t listedIn = 0; // Number of the last report that listed it.
+    int percent = 0;
+    ms percentAt = 0; // When the percentage last rose.
+    int64_t load = 0;
+    int pace = 100;
+    std::string ticket;
+};
+
+struct task_run {
+    uint32_t lastRun = 0;
+    uint16_t failures = 0;
+    bool done = false;
+    bool waiting = false; // Listed in step_run::waiting.
+    ms notBefore = 0;
+    worker_state* failedOn = nullptr;
+    std::string checkpoint;
+    std::vector<task_copy> copies;
+};
+
+// Position in the order of work: the smallest comes first.
+struct work_order {
+    int rank = 0; // The queue's priority; later when the objective cannot be met any more.
+    ms deadline = 0;
+    uint64_t sequence = 0;
+    auto operator<=>(const work_order&) const = default;
+};
+
+struct ticket {
+    std::string value;
+    ms until = 0;
+};
+
+struct step_run {
+    job_run* job = nullptr;
+    int64_t occurrence = 0;
+    int number = 0;
+    const step_spec* spec = nullptr;
+    std::vector<task_run> tasks;
+    int undone = 0;
+    bool open = false; // All steps before it are done.
+    bool queued = false;
+    work_order order;
+    std::vector<int> waiting; // Indices of tasks to be placed.
+    uint32_t gangRun = 0;
+    std::map<worker_id, ticket> tickets;
+    bool adviceAsked = false;
+    ms adviceAgainAt = 0;
+    std::set<worker_id> adviceRefused;
+
+    task_ref ref(int index) const;
+};
+
+struct occurrence_run {
+    int64_t number = 0;
+    std::vector<step_run> steps;
+    int stepsLeft = 0;
+};
+
+struct job_run {
+    job_id id;
+    job_record record;
+    bool haveRecord = false;
+    job_state state = job_state::queued;
+    job_state durableState = job_state::queued;
+    bool started = false;
+    bool dirty = false;
+    ms acceptedAt = 0;
+    ms finishedAt = 0;
+    uint64_t sequence = 0;
+    int64_t nextOccurrence = 0;
+    std::map<int64_t, std::unique_ptr<occurrence_run>> live;
+    std::shared_ptr<const std::string> payload;
+    std::string restored; // Progress that came before the job's own record.
+
+    bool over() const { return state >= job_state::completed; }
+};
+
+struct placement {
+    step_run* step = nullptr;
+    int index = 0;
+    uint32_t run = 0;
+};
+
+struct worker_state {
+    worker_record info;
+    bool listed = false; // The platform lists it.
+    bool adopted = false; // It has reported to this owner in its present life.
+    std::vector<placement> placed;
+    resources booked; // Fillers book memory and accelerators only.
+    int64_t fillerCpu = 0;
+    int64_t servingCpu = 0; // Booked by lasting tasks, which use a part of it.
+    int fillerPace = 100;
+    ms pacedAt = 0;
+    ms pausedSince = 0; // Since when fillers stand still; 0: they do not.
+
+    bool looking = false;
+    ms lookAt = 0;
+    ms answeredAt = 0;
+    int failedLooks = 0;
+    uint64_t reports = 0;
+    uint64_t processed = 0; // Ends taken up, by number.
+    uint64_t acknowledged = 0; // Ends whose records are durable.
+
+    ms clockWorkerMs = 0; // As of clockAt.
+    ms clockAt = 0;
+    ms leaseUntilWorkerMs = 0; // The latest lease that may have been granted.
+
+    int failuresInRow = 0;
+    ms shunnedUntil = 0;
+    ms shunMs = 0;
+    ms hotUntil = 0; // A serving task there is over its target: no fillers.
+    ms drainedAt = 0;
+
+    ms workerNow(ms now) const { return clockWorkerMs + (now - clockAt); }
+    resources room() const { return info.capacity - booked; }
+};
+
+struct cell_model {
+    cell_model(cell_settings settings, std::shared_ptr<const queue_table> table, decision_log log)
+        : settings(settings)
+        , queues(std::move(table))
+        , log(std::move(log))
+    {
+    }
+
+    cell_settings settings;
+    std::shared_ptr<const queue_table> queues;
+    decision_log log;
+
+    std::unordered_map<job_id, std::unique_ptr<job_run>> jobs;
+    std::map<worker_id, std::unique_ptr<worker_state>> workers;
+    std::set<std::pair<work_order, step_run*>> ready;
+    std::vector<job_run*> dirty;
+    std::set<job_run*> timed; // Jobs with occurrences to come.
+    std::deque<std::pair<ms, job_id>> finished; // Oldest first.
+    ms orderedAt = 0; // When the order of work was last computed.
+    std::vector<placement> planned; // Waiting for the next write.
+    std::vector<placement> writing; // Waiting for the write under way.
+    std::vector<job_run*> writingJobs;
+    std::vector<std::pair<worker_state*, uint64_t>> writingEnds;
+    std::vector<job_id> toDrop;
+    std::vector<job_run*> retiring; // Over and durable; their runs may still have to end.
+    std::vector<action> actions;
+    bool writeUnderWay = false;
+    bool begun = false;
+    bool mayGrant = false;
+    bool fenced = false;
+    bool placeNeeded = false;
+    ms beganAt = 0;
+    ms now = 0;
+    int64_t unixOffset = 0; // Time of day less `now`.
+    uint64_t nextSequence = 0;
+
+    // cell.cpp
+    const queue_policy* policyOf(const job_run&) const;
+    void addJob(const job_id&, const job_record&);
+    void cancel(const job_id&);
+    occurrence_run& openOccurrence(job_run&, int64_t number);
+    void openDueOccurrences(job_run&);
+    void openReadySteps(occurrence_run&);
+    void requeue(step_run&, int index);
+    void enqueue(step_run&);
+    void unqueue(step_run&);
+    work_order orderOf(const step_run&) const;
+    void markDone(step_run&, int index);
+    void finishStep(step_run&);
+    void finishJob(job_run&, job_state);
+    void touch(job_run&);
+    step_run* findStep(const task_ref&);
+
+    // cell_progress.cpp
+    static task_copy* findCopy(const placement&);
+    std::string encodeProgress(const job_run&) const;
+    void applyProgress(job_run&, std::string_view bytes);
+    std::optional<write_batch> takeWrite();
+    void onWritten();
+    void retire();
+
+    // cell_workers.cpp
+    worker_state& workerNamed(const worker_id&);
+    void setWorker(const worker_record&);
+    void removeWorker(const worker_id&);
+    void onReport(worker_state&, const worker_report&, ms sentAt);
+    void takeEnd(worker_state&, const ended_task&);
+    void noteRunning(worker_state&, const running_task&);
+    void noteAbsent(worker_state&, ms sentAt);
+    void lookAtWorkers();
+    void loseAll(worker_state&, std::string_view why);
+    bool leaseSurelyOver(const worker_state&) const;
+    task_copy& place(step_run&, int index, worker_state&, uint32_t run);
+    void removeCopy(step_run&, int index, worker_state&, uint32_t run);
+    // Ends a copy that must not go on; the task is free again once the worker says so.
+    void doom(step_run&, int index, task_copy&, std::string_view why);
+    void sendStop(step_run&, int index, task_copy&);
+    void dropUnlisted();
+    void emptyDraining();
+
+    // cell_placing.cpp
+    void placeWaiting();
+    bool placeStep(step_run&);
+    bool placeGang(step_run&);
+    worker_state* chooseWorker(step_run&, const task_run&, const std::string* rack);
+    bool usable(const worker_state&) const;
+    bool allowed(const step_run&, const worker_state&) const;
+    void askAdvice(step_run&);
+
+    // cell_sharing.cpp
+    void share();
+    void setPace(worker_state&, int percent);
+    void evictFillers(worker_state&);
+};
+
+} // namespace camphorwell
--- /dev/null
+++ b/src/jobs/process/cell_placing.cpp
@@ -0,0 +1,295 @@
+// Order of work and choice of workers.
+//
+// Order: lasting tasks that are away, then by the queue's priority, then by the time until which the job
+// meets its objective. Jobs that have missed it come after those that still can, and those past three times
+// the objective last. Answers the load of a full service: room goes to the work that still helps its caller.
+//
+// Choice: lasting tasks go where the least of their job runs already and most room is left, so that the loss
+// of a worker costs each job little. Other tasks take the tightest fit, which keeps large holes for large
+// tasks. Fillers book no processors; they go where the others leave most, and nowhere a serving task is over
+// its target.
+#include "jobs/process/cell_model.h"
+
+#include <algorithm>
+
+namespace camphorwell {
+
+namespace {
+
+    constexpr ms orderEveryMs = 400; // Period in which deadlines that have passed change the order.
+    constexpr double servingUse = 0.5; // Share of their booked processors that lasting tasks use.
+    constexpr double fillerRoom = 0.9; // A filler needs this share of its processors left over.
+    constexpr ms adviceAgainMs = 500;
+    constexpr ms freshMs = 1500; // A worker must have answered so recently, beyond the wait of a look.
+
+    // A size for which no worker of a service had room.
+    struct full_shape {
+        const step_spec* spec = nullptr;
+        const queue_policy* policy = nullptr;
+
+        bool covers(const step_spec& asked, const queue_policy& by) const
+        {
+            return policy->service == by.service && spec->filler == asked.filler
+                && spec->cpuMilli <= asked.cpuMilli && spec->memoryMb <= asked.memoryMb
+                && spec->accelerators <= asked.accelerators;
+        }
+    };
+
+    int64_t leftForFillers(const worker_state& worker)
+    {
+        auto unused = static_cast<int64_t>(static_cast<double>(worker.servingCpu) * (1 - servingUse));
+        return worker.info.capacity.cpuMilli - worker.booked.cpuMilli + unused - worker.fillerCpu;
+    }
+
+    int copiesOn(const step_run& step, const worker_state& worker)
+    {
+        int count = 0;
+        for (const placement& each : worker.placed)
+            count += each.step == &step;
+        return count;
+    }
+
+} // namespace
+
+bool cell_model::usable(const worker_state& worker) const
+{
+    return worker.listed && worker.adopted && !worker.info.draining && worker.shunnedUntil <= now
+        && worker.failedLooks == 0 && now - worker.answeredAt < settings.lookWaitMs + freshMs;
+}
+
+// Whether the step may run there at all, room left aside.
+bool cell_model::allowed(const step_run& step, const worker_state& worker) const
+{
+    const step_spec& spec = *step.spec;
+    const queue_policy* policy = policyOf(*step.job);
+    if (!policy || policy->service != worker.info.service)
+        return false;
+    const auto& labels = worker.info.labels;
+    if (!spec.requiredLabel.empty()
+        && std::find(labels.begin(), labels.end(), spec.requiredLabel) == labels.end())
+        return false;
+    if (spec.maxPerWorker > 0 && copiesOn(step, worker) >= spec.maxPerWorker)
+        return false;
+    if (!policy->advised)
+        return true;
+    auto found = step.tickets.find(worker.info.id);
+    return found != step.tickets.end() && found->second.until > now;
+}
+
+worker_state* cell_model::chooseWorker(step_run& step, const task_run& task, const std::string* rack)
+{
+    const step_spec& spec = *step.spec;
+    resources need { spec.filler ? 0 : spec.cpuMilli, spec.memoryMb, spec.accelerators, 0 };
+    worker_state* best = nullptr;
+    double bestScore = 0;
+    for (auto& [id, held] : workers) {
+        worker_state& worker = *held;
+        if (!usable(worker) || (rack && worker.info.rack != *rack) || !need.fits(worker.room()))
+            continue;
+        int64_t left = leftForFillers(worker);
+        if (spec.filler
+            && (worker.hotUntil > now || worker.fillerPace < 100
+                || left < static_cast<int64_t>(static_cast<double>(spec.cpuMilli) * fillerRoom)))
+            continue;
+        if (!allowed(step, worker))
+            continue;
+        auto room = static_cast<double>(worker.room().cpuMilli);
+        double score = -room;
+        if (spec.filler)
+            score = static_cast<double>(left);
+        if (spec.lasting)
+            score = room - 1e6 * copiesOn(step, worker);
+        if (!spec.nearRack.empty() && spec.nearRack != worker.info.rack)
+            score -= 1e7;
+        if (task.failedOn == &worker)
+            score -= 1e8;
+        if (!best || score > bestScore) {
+            best = &worker;
+            bestScore = score;
+        }
+    }
+    return best;
+}
+
+bool cell_model::placeGang(step_run& step)
+{
+    std::set<std::string> racks;
+    if (step.spec->sameRack) {
+        for (const auto& [id, worker] : workers)
+            racks.insert(worker->info.rack);
+    }
+    std::vector<const std::string*> tries;
+    for (const auto& each : racks)
+        tries.push_back(&each);
+    tries.push_back(nullptr);
+    uint32_t run = 0;
+    for (const auto& task : step.tasks) {
+        if (!task.copies.empty() || task.notBefore > now)
+            return false;
+        run = std::max(run, task.lastRun + 1);
+    }
+    for (const std::string* rack : tries) {
+        std::vector<worker_state*> chosen;
+        for (int i = 0; i < static_cast<int>(step.tasks.size()); i++) {
+            worker_state* worker = chooseWorker(step, step.tasks[static_cast<size_t>(i)], rack);
+            if (!worker)
+                break;
+            chosen.push_back(worker);
+            task_copy& copy = place(step, i, *worker, run);
+            if (auto found = step.tickets.find(worker->info.id); found != step.tickets.end())
+                copy.ticket = found->second.value;
+        }
+        if (chosen.size() == step.tasks.size()) {
+            step.gangRun = run;
+            for (int i = 0; i < static_cast<int>(step.tasks.size()); i++) {
+                step.tasks[static_cast<size_t>(i)].waiting = false;
+                planned.push_back({ &step, i, run });
+            }
+            step.waiting.clear();
+            touch(*step.job);
+            return true;
+        }
+        for (int i = 0; i < static_cast<int>(chosen.size()); i++)
+            removeCopy(step, i, *chosen[static_cast<size_t>(i)], run);
+    }
+    return false;
+}
+
+bool cell_model::placeStep(step_run& step)
+{
+    const queue_policy* policy = policyOf(*step.job);
+    if (policy && policy->advised)
+        askAdvice(step);
+    bool placedAll = true;
+    if (step.spec->gang) {
+        placedAll = placeGang(step);
+    } else {
+        std::vector<int> left;
+        bool full = false;
+        for (int index : step.waiting) {
+            task_run& task = step.tasks[static_cast<size_t>(index)];
+            worker_state* worker = nullptr;
+            if (task.notBefore <= now && !full) {
+                worker = chooseWorker(step, task, nullptr);
+                full = !worker;
+            }
+            if (!worker) {
+                left.push_back(index);
+                continue;
+            }
+            task.waiting = false;
+            uint32_t run = task.lastRun + 1;
+            task_copy& copy = place(step, index, *worker, run);
+            if (auto found = step.tickets.find(worker->info.id); found != step.tickets.end())
+                copy.ticket = found->second.value;
+            planned.push_back({ &step, index, run });
+            touch(*step.job);
+            log(log_line("task_placed")
+                    .add("task", step.ref(index).str())
+                    .add("run", run)
+                    .add("worker", worker->info.id)
+                    .add("room_left", worker->room().cpuMilli)
+                    .add("look_age_ms", now - worker->answeredAt));
+        }
+        placedAll = !full;
+        step.waiting.swap(left);
+    }
+    return placedAll;
+}
+
+void cell_model::placeWaiting()
+{
+    if (!begun || !mayGrant)
+        return;
+    placeNeeded = false;
+    if (now - orderedAt >= orderEveryMs) {
+        orderedAt = now;
+        std::set<std::pair<work_order, step_run*>> anew;
+        for (auto& [order, step] : ready) {
+            step->order = orderOf(*step);
+            anew.insert({ step->order, step });
+        }
+        ready.swap(anew);
+    }
+    std::vector<full_shape> full;
+    std::vector<step_run*> order;
+    order.reserve(ready.size());
+    for (const auto& [key, step] : ready)
+        order.push_back(step);
+    for (step_run* step : order) {
+        const queue_policy* policy = policyOf(*step->job);
+        if (!policy || std::any_of(full.begin(), full.end(), [&](const full_shape& each) {
+                return each.covers(*step->spec, *policy);
+            }))
+            continue;
+        bool constrained = !step->spec->requiredLabel.empty() || step->spec->maxPerWorker > 0
+            || step->spec->gang || policy->advised;
+        if (!placeStep(*step) && !constrained)
+            full.push_back({ step->spec, policy });
+        if (step->waiting.empty())
+            unqueue(*step);
+    }
+}
+
+// Asks which workers may run the step: those with most room that have no valid ticket yet.
+void cell_model::askAdvice(step_run& step)
+{
+    if (step.adviceAsked || now < step.adviceAgainAt)
+        return;
+    int valid = 0;
+    for (const auto& [id, held] : step.tickets)
+        valid += held.until > now;
+    if (valid >= static_cast<int>(std::min<size_t>(step.waiting.size(), 3)))
+        return;
+    std::vector<std::pair<int64_t, worker_id>> candidates;
+    for (const auto& [id, worker] : workers) {
+        resources need { step.spec->filler ? 0 : step.spec->cpuMilli, step.spec->memoryMb,
+            step.spec->accelerators, 0 };
+        if (usable(*worker) && need.fits(worker->room()) && !step.adviceRefused.contains(id))
+            candidates.emplace_back(-worker->room().cpuMilli, id);
+    }
+    std::sort(candidates.begin(), candidates.end());
+    if (candidates.empty()) {
+        step.adviceRefused.clear();
+        step.adviceAgainAt = now + adviceAgainMs;
+        return;
+    }
+    advice_action ask { step.ref(0), {} };
+    for (const auto& [room, id] : candidates) {
+        if (static_cast<int>(ask.workers.size()) < settings.advisedAtOnce)
+            ask.workers.push_back(id);
+    }
+    step.adviceAsked = true;
+    actions.push_back(std::move(ask));
+}
+
+void cell::onAdvice(
+    const task_ref& ref, const std::vector<worker_id>& asked, const std::vector<advised_worker>& good, ms now)
+{
+    cell_model& m = *m_model;
+    m.now = now;
+    step_run* step = m.findStep(ref);
+    if (!step)
+        return;
+    step->adviceAsked = false;
+    const queue_policy* policy = m.policyOf(*step->job);
+    ms valid = policy ? policy->adviceValidMs : 0;
+    for (const auto& each : asked)
+        step->adviceRefused.insert(each);
+    for (const auto& each : good) {
+        step->adviceRefused.erase(each.worker);
+        step->tickets[each.worker] = { each.ticket, now + valid * 9 / 10 };
+    }
+    m.placeNeeded = true;
+}
+
+void cell::onAdviceFailed(const task_ref& ref, ms now)
+{
+    m_model->now = now;
+    if (step_run* step = m_model->findStep(ref)) {
+        step->adviceAsked = false;
+        step->adviceAgainAt = now + adviceAgainMs;
+    }
+}
+
+} // namespace camphorwell
--- /dev/null
+++ b/src/jobs/process/cell_progress.cpp
@@ -0,0 +1,252 @@
+// Records of progress and the write barrier. All changes since the last append go into the next one, one
+// append is under way at a time, and what depends on it (starts, acknowledged ends, answers to callers)
+// waits.
+#include "jobs/process/cell_model.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+namespace camphorwell {
+
+namespace {
+
+    using nlohmann::json;
+    constexpr int progressFormat = 1;
+
+    json taskRow(int index, const task_run& task)
+    {
+        json copies = json::array();
+        for (const auto& each : task.copies) {
+            copies.push_back(each.run);
+            copies.push_back(each.on->info.id);
+        }
+        json row = json::array({ index, task.lastRun, task.failures, task.done ? 1 : 0, std::move(copies) });
+        if (!task.checkpoint.empty())
+            row.push_back(task.checkpoint);
+        return row;
+    }
+
+    json stepRow(const step_run& step)
+    {
+        json tasks = json::array();
+        for (int i = 0; i < static_cast<int>(step.tasks.size()); i++) {
+            const task_run& task = step.tasks[static_cast<size_t>(i)];
+            if (task.lastRun > 0)
+                tasks.push_back(taskRow(i, task));
+        }
+        return json::array({ step.number, std::move(tasks) });
+    }
+
+} // namespace
+
+// [format, state, next occurrence, [[occurrence, [[step, [[task, last run, failures, done, copies, ...]]]]]]]
+std::string cell_model::encodeProgress(const job_run& job) const
+{
+    json row = json::array({ progressFormat, static_cast<int>(job.state) });
+    if (!job.over()) {
+        json occurrences = json::array();
+        for (const auto& [number, live] : job.live) {
+            if (live->stepsLeft == 0)
+                continue;
+            json steps = json::array();
+            for (const auto& step : live->steps) {
+                if (step.open)
+                    steps.push_back(stepRow(step));
+            }
+            occurrences.push_back(json::array({ number, std::move(steps) }));
+        }
+        row.push_back(job.nextOccurrence);
+        row.push_back(std::move(occurrences));
+    }
+    std::string out;
+    json::to_cbor(row, out);
+    return out;
+}
+
+void cell::restoreProgress(const job_id& id, std::string_view bytes)
+{
+    auto& held = m_model->jobs[id];
+    if (!held) {
+        held = std::make_unique<job_run>();
+        held->id = id;
+    }
+    json row = json::from_cbor(bytes, true, false);
+    if (!row.is_array() || row.size() < 2 || !row[1].is_number_integer()) {
+        m_model->log(log_line("progress_unreadable").add("job", id));
+        return;
+    }
+    auto state = static_cast<job_state>(row[1].get<int>());
+    if (state >= job_state::completed) {
+        held->state = held->durableState = state;
+        m_model->finished.emplace_back(m_model->now, id);
+        return;
+    }
+    held->restored = bytes;
+}
+
+void cell_model::applyProgress(job_run& job, std::string_view bytes)
+{
+    try {
+        json row = json::from_cbor(bytes, true, false);
+        for (const auto& occurrence : row.at(3)) {
+            occurrence_run& live = openOccurrence(job, occurrence.at(0));
+            for (const auto& stepEntry : occurrence.at(1)) {
+                step_run& step = live.steps.at(stepEntry.at(0).get<size_t>());
+                for (const auto& entry : stepEntry.at(1)) {
+                    int index = entry.at(0);
+                    task_run& task = step.tasks.at(static_cast<size_t>(index));
+                    task.lastRun = entry.at(1);
+                    task.failures = entry.at(2);
+                    task.done = entry.at(3).get<int>() != 0;
+                    step.undone -= task.done;
+                    if (entry.size() > 5)
+                        task.checkpoint = entry.at(5);
+                    const json& copies = entry.at(4);
+                    for (size_t i = 0; i + 1 < copies.size(); i += 2) {
+                        task_copy& restored = place(step, index, workerNamed(copies[i + 1]), copies[i]);
+                        restored.ordered = true;
+                        restored.phase = copy_phase::restored;
+                        if (step.spec->gang)
+                            step.gangRun = restored.run;
+                    }
+                    job.started = true;
+                }
+            }
+            live.stepsLeft = static_cast<int>(std::count_if(
+                live.steps.begin(), live.steps.end(), [](const auto& each) { return each.undone > 0; }));
+        }
+        job.nextOccurrence = row.at(2);
+    } catch (const std::exception& error) {
+        // Written by this library under a fence, so this is a defect or a newer format: leave the job alone
+        // rather than run a task twice.
+        log(log_line("progress_unreadable").add("job", job.id).add("error", error.what()));
+        job.state = job.durableState = job_state::failed;
+    }
+}
+
+task_copy* cell_model::findCopy(const placement& at)
+{
+    for (task_copy& each : at.step->tasks[static_cast<size_t>(at.index)].copies) {
+        if (each.run == at.run)
+            return &each;
+    }
+    return nullptr;
+}
+
+std::optional<write_batch> cell_model::takeWrite()
+{
+    if (writeUnderWay)
+        return std::nullopt;
+    retire();
+    if (dirty.empty() && toDrop.empty()) {
+        for (auto& [id, worker] : workers)
+            worker->acknowledged = worker->processed;
+        return std::nullopt;
+    }
+    write_batch batch;
+    for (job_run* job : dirty) {
+        job->dirty = false;
+        batch.records.push_back({ job->id, encodeProgress(*job) });
+    }
+    writingJobs.swap(dirty);
+    dirty.clear();
+    std::vector<job_id> kept;
+    for (const job_id& id : toDrop) {
+        auto found = jobs.find(id);
+        if (found == jobs.end())
+            continue;
+        job_run* job = found->second.get();
+        if (!job->live.empty()
+            || std::find(writingJobs.begin(), writingJobs.end(), job) != writingJobs.end()) {
+            kept.push_back(id);
+            continue;
+        }
+        std::erase(retiring, job);
+        jobs.erase(found);
+        batch.records.push_back({ id, {} });
+    }
+    toDrop.swap(kept);
+    writing.swap(planned);
+    planned.clear();
+    writingEnds.clear();
+    for (auto& [id, worker] : workers) {
+        if (worker->processed != worker->acknowledged)
+            writingEnds.emplace_back(worker.get(), worker->processed);
+    }
+    writeUnderWay = true;
+    return batch;
+}
+
+std::optional<write_batch> cell::takeWrite(ms now)
+{
+    m_model->now = now;
+    return m_model->takeWrite();
+}
+
+void cell::onWritten(ms now)
+{
+    m_model->now = now;
+    m_model->onWritten();
+}
+
+void cell_model::onWritten()
+{
+    CAMPHORWELL_INVARIANT(writeUnderWay, "a write was confirmed that was not under way");
+    writeUnderWay = false;
+    for (auto& [worker, number] : writingEnds)
+        worker->acknowledged = std::max(worker->acknowledged, std::min(number, worker->processed));
+    std::vector<placement> starts;
+    starts.swap(writing);
+    for (const placement& each : starts) {
+        task_copy* copy = findCopy(each);
+        if (!copy)
+            continue;
+        worker_state& worker = *copy->on;
+        ms lease = worker.workerNow(now) + settings.leaseMs;
+        if (copy->phase != copy_phase::planned || !usable(worker) || !mayGrant) {
+            removeCopy(*each.step, each.index, worker, each.run);
+            touch(*each.step->job);
+            requeue(*each.step, each.index);
+            continue;
+        }
+        copy->phase = copy_phase::ordered;
+        copy->ordered = true;
+        copy->percentAt = now;
+        worker.leaseUntilWorkerMs = std::max(worker.leaseUntilWorkerMs, lease);
+        actions.push_back(
+            start_action { worker.info.id, each.step->ref(each.index), each.run, each.step->job->payload,
+                each.step->tasks[static_cast<size_t>(each.index)].checkpoint, copy->ticket, lease });
+    }
+    for (job_run* job : writingJobs) {
+        // A change after the record was taken makes the job dirty again, and the next append tells of it.
+        if (job->over() && !job->dirty && job->durableState != job->state) {
+            job->durableState = job->state;
+            actions.push_back(forget_job_action { job->id });
+            retiring.push_back(job);
+        }
+    }
+    writingJobs.clear();
+}
+
+// Frees what a finished job held once nothing of it runs.
+void cell_model::retire()
+{
+    if (!planned.empty())
+        return;
+    std::erase_if(retiring, [](job_run* job) {
+        for (const auto& [number, live] : job->live) {
+            for (const auto& step : live->steps) {
+                for (const auto& task : step.tasks) {
+                    if (!task.copies.empty())
+                        return false;
+                }
+            }
+        }
+        job->live.clear();
+        job->record.spec = {};
+        job->payload.reset();
+        return true;
+    });
+}
+
+} // namespace camphorwell
--- /dev/null
+++ b/src/jobs/process/cell_workers.cpp
@@ -0,0 +1,493 @@
+// Leases, looks at workers, ends, and lost workers.
+//
+// One look a worker is under way at a time. It carries the token, renews the lease, acknowledges the ends
+// that are durable, and comes back at the next end or after `lookWaitMs`. A copy counts as gone only on a
+// definite word: its end is listed; the worker has another life; or the lease has surely lapsed by the
+// worker's clock. A run that was ordered without an answer is stopped, which also forbids a late start, and
+// counts as gone when a report asked for after the stop's answer does not list it.
+#include "jobs/process/cell_model.h"
+
+#include <algorithm>
+
+namespace camphorwell {
+
+namespace {
+
+    constexpr double clockError = 1.03; // A worker's clock may be 2% slow.
+    constexpr ms lapseSlackMs = 300; // Between a lease's end and the kill, and the delay of answers.
+    constexpr ms stopAgainMs = 700; // A stop without an answer is repeated after this.
+    constexpr ms lookAgainMs = 250; // After a look that failed, times the failures in a row.
+    constexpr ms lookAgainMostMs = 1000;
+    constexpr size_t mostEndsListed = 500; // A report with so many ends may hold back more.
+    constexpr int failuresToShun = 3; // Failed tasks in a row.
+    constexpr ms shunMs = 3000; // Doubled each time, up to eight times.
+    constexpr ms retryPauseMs = 100; // Before a failed task is started again.
+    constexpr ms departureMs = 700; // A task on a leaving worker is stopped so long before the end.
+    constexpr ms departureDefaultMs = 2000; // Assumed when a leaving worker does not say.
+
+    placement* findPlacement(worker_state& worker, const step_run& step, int index, uint32_t run)
+    {
+        for (placement& each : worker.placed) {
+            if (each.step == &step && each.index == index && each.run == run)
+                return &each;
+        }
+        return nullptr;
+    }
+
+} // namespace
+
+void cell::setWorker(const worker_record& record, ms now)
+{
+    m_model->now = now;
+    m_model->setWorker(record);
+}
+
+void cell::removeWorker(const worker_id& id, ms now)
+{
+    m_model->now = now;
+    m_model->removeWorker(id);
+}
+
+worker_state& cell_model::workerNamed(const worker_id& id)
+{
+    auto& held = workers[id];
+    if (!held) {
+        held = std::make_unique<worker_state>();
+        held->info.id = id;
+    }
+    return *held;
+}
+
+void cell_model::setWorker(const worker_record& record)
+{
+    worker_state& worker = workerNamed(record.id);
+    bool wasDraining = worker.info.draining && worker.listed;
+    if (worker.adopted && worker.info.bornUnixMs != 0 && record.bornUnixMs > worker.info.bornUnixMs)
+        loseAll(worker, "new_life");
+    if (record.bornUnixMs < worker.info.bornUnixMs)
+        return; // News of an earlier life.
+    if (!worker.listed)
+        log(log_line("worker_listed").add("worker", record.id).add("service", record.service));
+    worker.info = record;
+    worker.listed = true;
+    placeNeeded = true;
+    if (record.draining && !wasDraining) {
+        worker.drainedAt = now;
+        log(log_line("worker_draining")
+                .add("worker", record.id)
+                .add("remaining_ms", record.remainingMs)
+                .add("tasks", static_cast<int64_t>(worker.placed.size())));
+    }
+}
+
+void cell_model::removeWorker(const worker_id& id)
+{
+    auto found = workers.find(id);
+    if (found == workers.end() || !found->second->listed)
+        return;
+    found->second->listed = false;
+    log(log_line("worker_unlisted")
+            .add("worker", id)
+            .add("tasks", static_cast<int64_t>(found->second->placed.size())));
+}
+
+void cell_model::dropUnlisted()
+{
+    for (auto it = workers.begin(); it != workers.end();) {
+        worker_state& worker = *it->second;
+        bool silent = !worker.adopted || now - worker.answeredAt > settings.maxLeaseMs;
+        bool writing = std::any_of(
+            writingEnds.begin(), writingEnds.end(), [&](const auto& each) { return each.first == &worker; });
+        if (!worker.listed && worker.placed.empty() && silent && !worker.looking && !writing)
+            it = workers.erase(it);
+        else
+            ++it;
+    }
+}
+
+void cell_model::lookAtWorkers()
+{
+    dropUnlisted();
+    for (auto& [id, held] : workers) {
+        worker_state& worker = *held;
+        if (!worker.placed.empty() && leaseSurelyOver(worker))
+            loseAll(worker, "lease_over");
+        if (worker.looking || now < worker.lookAt || worker.info.address.empty())
+            continue;
+        if (!worker.listed && worker.placed.empty())
+            continue;
+        for (placement& each : worker.placed) {
+            task_copy* copy = findCopy(each);
+            if (copy && copy->phase == copy_phase::doomed && copy->ordered && copy->stopAnsweredAt == 0
+                && now - copy->stopSentAt > stopAgainMs)
+                sendStop(*each.step, each.index, *copy);
+        }
+        look_action look { id, worker.acknowledged, std::nullopt, 0 };
+        if (worker.adopted) {
+            look.waitMs = settings.lookWaitMs;
+            if (mayGrant) {
+                look.leaseUntilWorkerMs = worker.workerNow(now) + settings.leaseMs;
+                worker.leaseUntilWorkerMs = std::max(worker.leaseUntilWorkerMs, *look.leaseUntilWorkerMs);
+            }
+        }
+        worker.looking = true;
+        actions.push_back(look);
+    }
+}
+
+bool cell_model::leaseSurelyOver(const worker_state& worker) const
+{
+    if (worker.answeredAt == 0) {
+        auto longest = static_cast<ms>(static_cast<double>(settings.maxLeaseMs) * clockError);
+        return now - beganAt > settings.priorGrantMs + longest + lapseSlackMs;
+    }
+    auto left = static_cast<double>(std::max<ms>(0, worker.leaseUntilWorkerMs - worker.clockWorkerMs));
+    return now - worker.clockAt > static_cast<ms>(left * clockError) + lapseSlackMs;
+}
+
+void cell_model::loseAll(worker_state& worker, std::string_view why)
+{
+    log(log_line("worker_lost")
+            .add("worker", worker.info.id)
+            .add("why", why)
+            .add("silent_ms", now - worker.answeredAt)
+            .add("tasks", static_cast<int64_t>(worker.placed.size())));
+    worker.adopted = false;
+    worker.processed = worker.acknowledged = 0;
+    worker.leaseUntilWorkerMs = worker.clockWorkerMs = 0;
+    std::erase_if(writingEnds, [&](const auto& each) { return each.first == &worker; });
+    std::vector<placement> lost = worker.placed;
+    for (const placement& each : lost) {
+        removeCopy(*each.step, each.index, worker, each.run);
+        touch(*each.step->job);
+        requeue(*each.step, each.index);
+    }
+}
+
+void cell::onLookFailed(const worker_id& id, order_outcome outcome, ms now)
+{
+    cell_model& m = *m_model;
+    m.now = now;
+    auto found = m.workers.find(id);
+    if (found == m.workers.end())
+        return;
+    worker_state& worker = *found->second;
+    worker.looking = false;
+    worker.failedLooks++;
+    worker.lookAt = now + std::min<ms>(lookAgainMs * worker.failedLooks, lookAgainMostMs);
+    if (worker.failedLooks == 1)
+        m.log(log_line("look_failed").add("worker", id).add("outcome", toString(outcome)));
+    if (outcome == order_outcome::fenced)
+        m.fenced = true;
+    if (outcome == order_outcome::reborn && worker.adopted)
+        m.loseAll(worker, "another_life_at_address");
+}
+
+void cell::onReport(const worker_id& id, const worker_report& report, ms sentAt, ms now)
+{
+    m_model->now = now;
+    auto found = m_model->workers.find(id);
+    if (found != m_model->workers.end())
+        m_model->onReport(*found->second, report, sentAt);
+}
+
+void cell_model::onReport(worker_state& worker, const worker_report& report, ms sentAt)
+{
+    worker.looking = false;
+    worker.lookAt = now;
+    if (worker.failedLooks > 0)
+        placeNeeded = true;
+    worker.failedLooks = 0;
+    if (report.bornUnixMs != 0 && report.bornUnixMs != worker.info.bornUnixMs) {
+        if (worker.info.bornUnixMs != 0)
+            loseAll(worker, "new_life");
+        worker.info.bornUnixMs = report.bornUnixMs;
+    }
+    worker.clockWorkerMs = report.clockWorkerMs;
+    worker.clockAt = now;
+    worker.answeredAt = now;
+    if (!worker.adopted) {
+        worker.adopted = true;
+        placeNeeded = true;
+        worker.leaseUntilWorkerMs
+            = std::max(worker.leaseUntilWorkerMs, report.clockWorkerMs + settings.maxLeaseMs);
+        log(log_line("worker_taken")
+                .add("worker", worker.info.id)
+                .add("running", static_cast<int64_t>(report.running.size())));
+    }
+    worker.reports++;
+    for (const ended_task& each : report.ended) {
+        if (each.number > worker.processed) {
+            takeEnd(worker, each);
+            worker.processed = each.number;
+        }
+    }
+    for (const running_task& each : report.running)
+        noteRunning(worker, each);
+    if (report.ended.size() < mostEndsListed)
+        noteAbsent(worker, sentAt);
+}
+
+void cell_model::noteRunning(worker_state& worker, const running_task& seen)
+{
+    step_run* step = findStep(seen.task);
+    task_copy* copy = step ? findCopy({ step, seen.task.index, seen.run }) : nullptr;
+    if (copy && copy->on != &worker)
+        copy = nullptr;
+    if (!copy) {
+        // Nothing recorded asks for it. It must end before its task is started anywhere.
+        log(log_line("unknown_run")
+                .add("task", seen.task.str())
+                .add("run", seen.run)
+                .add("worker", worker.info.id));
+        actions.push_back(stop_action { worker.info.id, seen.task, seen.run });
+        return;
+    }
+    copy->listedIn = worker.reports;
+    if (copy->phase == copy_phase::ordered || copy->phase == copy_phase::restored) {
+        copy->phase = copy_phase::running;
+        copy->percentAt = now;
+    }
+    if (seen.percent != copy->percent) {
+        copy->percent = seen.percent;
+        copy->percentAt = now;
+    }
+    copy->load = seen.load;
+    if (!seen.checkpoint.empty())
+        step->tasks[static_cast<size_t>(seen.task.index)].checkpoint = seen.checkpoint;
+}
+
+void cell_model::noteAbsent(worker_state& worker, ms sentAt)
+{
+    std::vector<placement> absent;
+    for (const placement& each : worker.placed) {
+        task_copy* copy = findCopy(each);
+        if (copy && copy->listedIn != worker.reports)
+            absent.push_back(each);
+    }
+    for (const placement& each : absent) {
+        task_copy* copy = findCopy(each);
+        bool gone = false;
+        if (copy->phase == copy_phase::restored)
+            gone = true; // A start under an earlier token is refused from now on.
+        else if (copy->phase == copy_phase::doomed)
+            gone = copy->stopAnsweredAt != 0 && copy->stopAnsweredAt < sentAt;
+        else if (copy->phase == copy_phase::running && copy->answeredAt < sentAt)
+            doom(*each.step, each.index, *copy, "not_listed");
+        if (!gone)
+            continue;
+        log(log_line("run_absent")
+                .add("task", each.step->ref(each.index).str())
+                .add("run", each.run)
+                .add("worker", worker.info.id));
+        removeCopy(*each.step, each.index, worker, each.run);
+        touch(*each.step->job);
+        requeue(*each.step, each.index);
+    }
+}
+
+void cell_model::takeEnd(worker_state& worker, const ended_task& end)
+{
+    step_run* step = findStep(end.task);
+    if (!step)
+        return; // Of a job that is over and dropped.
+    task_run& task = step->tasks[static_cast<size_t>(end.task.index)];
+    task_copy* copy = findCopy({ step, end.task.index, end.run });
+    bool known = copy && copy->on == &worker;
+    log(log_line("task_end")
+            .add("task", end.task.str())
+            .add("run", end.run)
+            .add("worker", worker.info.id)
+            .add("how", toString(end.how))
+            .add("known", known ? 1 : 0));
+    job_run& job = *step->job;
+    if (known) {
+        removeCopy(*step, end.task.index, worker, end.run);
+        touch(job);
+    }
+    if (job.over() || task.done)
+        return;
+    if (!end.checkpoint.empty() && known)
+        task.checkpoint = end.checkpoint;
+    const queue_policy* policy = policyOf(job);
+    if (end.how == end_kind::done && !step->spec->lasting && (known || task.copies.empty())) {
+        worker.failuresInRow = 0;
+        worker.shunMs = 0;
+        if (step->spec->gang) {
+            for (int i = 0; i < static_cast<int>(step->tasks.size()); i++)
+                markDone(*step, i);
+        } else {
+            markDone(*step, end.task.index);
+        }
+        return;
+    }
+    if (!known)
+        return;
+    if (end.how == end_kind::failed) {
+        task.failedOn = &worker;
+        task.notBefore = now + retryPauseMs;
+        if (++worker.failuresInRow >= failuresToShun) {
+            worker.shunMs = std::clamp<ms>(worker.shunMs * 2, shunMs, 8 * shunMs);
+            worker.shunnedUntil = now + worker.shunMs;
+            worker.failuresInRow = failuresToShun - 1;
+            log(log_line("worker_shunned").add("worker", worker.info.id).add("for_ms", worker.shunMs));
+        }
+        task_run& counted = step->spec->gang ? step->tasks.front() : task;
+        counted.failures++;
+        if (!step->spec->lasting && policy && counted.failures >= policy->maxAttempts) {
+            finishJob(job, job_state::failed);
+            return;
+        }
+    }
+    if (step->spec->gang) {
+        for (int i = 0; i < static_cast<int>(step->tasks.size()); i++) {
+            for (task_copy& each : step->tasks[static_cast<size_t>(i)].copies)
+                doom(*step, i, each, "gang_broken");
+        }
+    }
+    requeue(*step, end.task.index);
+}
+
+task_copy& cell_model::place(step_run& step, int index, worker_state& worker, uint32_t run)
+{
+    task_run& task = step.tasks[static_cast<size_t>(index)];
+    const step_spec& spec = *step.spec;
+    worker.booked
+        = worker.booked + resources { spec.filler ? 0 : spec.cpuMilli, spec.memoryMb, spec.accelerators, 0 };
+    worker.fillerCpu += spec.filler ? spec.cpuMilli : 0;
+    worker.servingCpu += spec.lasting ? spec.cpuMilli : 0;
+    worker.placed.push_back({ &step, index, run });
+    task.lastRun = std::max(task.lastRun, run);
+    step.job->started = true;
+    task_copy copy;
+    copy.run = run;
+    copy.on = &worker;
+    task.copies.push_back(std::move(copy));
+    return task.copies.back();
+}
+
+void cell_model::removeCopy(step_run& step, int index, worker_state& worker, uint32_t run)
+{
+    task_run& task = step.tasks[static_cast<size_t>(index)];
+    placement* found = findPlacement(worker, step, index, run);
+    if (!found)
+        return;
+    *found = worker.placed.back();
+    worker.placed.pop_back();
+    const step_spec& spec = *step.spec;
+    worker.booked
+        = worker.booked - resources { spec.filler ? 0 : spec.cpuMilli, spec.memoryMb, spec.accelerators, 0 };
+    worker.fillerCpu -= spec.filler ? spec.cpuMilli : 0;
+    worker.servingCpu -= spec.lasting ? spec.cpuMilli : 0;
+    std::erase_if(task.copies, [&](const task_copy& each) { return each.run == run && each.on == &worker; });
+    placeNeeded = true;
+}
+
+void cell_model::sendStop(step_run& step, int index, task_copy& copy)
+{
+    copy.stopSentAt = now;
+    actions.push_back(stop_action { copy.on->info.id, step.ref(index), copy.run });
+}
+
+void cell_model::doom(step_run& step, int index, task_copy& copy, std::string_view why)
+{
+    if (copy.phase == copy_phase::doomed)
+        return;
+    copy.phase = copy_phase::doomed;
+    copy.stopAnsweredAt = 0;
+    log(log_line("task_stop")
+            .add("task", step.ref(index).str())
+            .add("run", copy.run)
+            .add("worker", copy.on->info.id)
+            .add("why", why));
+    if (copy.ordered)
+        sendStop(step, index, copy);
+}
+
+void cell::onStopped(const stop_action& stop, order_outcome outcome, ms now)
+{
+    cell_model& m = *m_model;
+    m.now = now;
+    if (outcome == order_outcome::fenced)
+        m.fenced = true;
+    step_run* step = m.findStep(stop.task);
+    task_copy* copy = step ? cell_model::findCopy({ step, stop.task.index, stop.run }) : nullptr;
+    if (!copy || copy->on->info.id != stop.worker)
+        return;
+    if (outcome == order_outcome::done)
+        copy->stopAnsweredAt = now;
+}
+
+void cell::onStarted(const start_action& start, order_outcome outcome, ms now)
+{
+    cell_model& m = *m_model;
+    m.now = now;
+    step_run* step = m.findStep(start.task);
+    task_copy* copy = step ? cell_model::findCopy({ step, start.task.index, start.run }) : nullptr;
+    if (!copy || copy->on->info.id != start.worker)
+        return;
+    worker_state& worker = *copy->on;
+    if (outcome == order_outcome::done) {
+        copy->answeredAt = now;
+        if (copy->phase == copy_phase::ordered) {
+            copy->phase = copy_phase::running;
+            copy->percentAt = now;
+        }
+        return;
+    }
+    m.log(log_line("start_refused")
+              .add("task", start.task.str())
+              .add("run", start.run)
+              .add("worker", start.worker)
+              .add("outcome", toString(outcome)));
+    if (outcome == order_outcome::fenced) {
+        m.fenced = true;
+        return;
+    }
+    if (outcome == order_outcome::no_answer) {
+        if (copy->phase == copy_phase::ordered)
+            m.doom(*step, start.task.index, *copy, "start_unanswered");
+        return;
+    }
+    // All others say that this run was not started and never will be.
+    if (outcome == order_outcome::bad_ticket)
+        step->tickets.erase(start.worker);
+    if (outcome == order_outcome::no_room)
+        worker.shunnedUntil = std::max(worker.shunnedUntil, now + m.settings.stopMs);
+    if (outcome == order_outcome::unhealthy || outcome == order_outcome::malformed)
+        worker.shunnedUntil = std::max(worker.shunnedUntil, now + shunMs);
+    if (outcome == order_outcome::reborn) {
+        m.loseAll(worker, "another_life_at_address");
+        return;
+    }
+    step->tasks[static_cast<size_t>(start.task.index)].notBefore = now + retryPauseMs;
+    m.removeCopy(*step, start.task.index, worker, start.run);
+    m.touch(*step->job);
+    if (step->spec->gang) {
+        for (int i = 0; i < static_cast<int>(step->tasks.size()); i++) {
+            for (task_copy& each : step->tasks[static_cast<size_t>(i)].copies)
+                m.doom(*step, i, each, "gang_incomplete");
+        }
+    }
+    m.requeue(*step, start.task.index);
+}
+
+// Lasting tasks leave a draining worker at once, so that they are away only for a restart. Others are
+// stopped, with a checkpoint where they have one, shortly before the worker goes.
+void cell_model::emptyDraining()
+{
+    for (auto& [id, held] : workers) {
+        worker_state& worker = *held;
+        if (!worker.info.draining || !worker.adopted)
+            continue;
+        ms left = (worker.info.remainingMs >= 0 ? worker.info.remainingMs : departureDefaultMs)
+            - (now - worker.drainedAt);
+        for (const placement& each : worker.placed) {
+            task_copy* copy = findCopy(each);
+            if (copy && (each.step->spec->lasting || left < departureMs))
+                doom(*each.step, each.index, *copy, "worker_leaves");
+        }
+    }
+}
+
+} // namespace camphorwell
--- /dev/null
+++ b/src/jobs/version/ownership.h
@@ -0,0 +1,83 @@
+// Who owns a cell. The claim is the newest record of the cell in the store: an instance becomes owner by
+// appending its claim on the condition that the record it last saw is still the newest, and proves its
+// ownership again and again in the same way. The offset of the claim gives the owner's token, so tokens rise.
+//
+// Answers the load of one owner dying or being cut off: others claim after `silenceMs` without a proof, at
+// once after a released claim, each with its own delay so that one conditional append usually decides.
+#pragma once
+
+#include "jobs/jobs.h"
+
+namespace camphorwell {
+
+struct claim_record {
+    instance_id instance;
+    uint64_t incarnation = 0;
+    std::string address; // Where other instances reach the owner, HOST:PORT.
+    uint64_t token = 0; // 0 in the record that makes the claim, whose offset is not known before.
+    bool released = false;
+    bool operator==(const claim_record&) const = default;
+};
+std::string encodeClaim(const claim_record&);
+std::optional<claim_record> decodeClaim(std::string_view bytes);
+
+struct ownership_settings {
+    ms proveEveryMs = 600; // Period of an owner's proofs.
+    ms silenceMs = 1800; // Without a proof for so long an owner is replaced; three missed proofs.
+    ms grantForMs = 6000; // An owner grants leases for so long after the sending of its last proof.
+    ms claimDelayMs = 0; // This instance's own delay, at most a few hundred.
+};
+
+class ownership {
+public:
+    ownership(ownership_settings, claim_record self);
+
+    enum class step { none, claim, prove };
+    // What to append now. `appendCondition` and `record` say how.
+    step next(ms now);
+    uint64_t appendCondition() const { return m_end; }
+    claim_record record(step, bool releasing) const;
+
+    // The newest claim in the store, as read. `end` is the offset after it.
+    void onObserved(const std::optional<claim_record>&, uint64_t end, ms now);
+    // The reading of claims failed; silence does not count until it works again.
+    void onReadFailed() { m_readSince.reset(); }
+    // A read came back without news.
+    void onReadOk(ms now);
+    void onAppended(step, uint64_t offset, ms sentAt);
+    void onConflict(); // The condition did not hold.
+    void onAppendFailed(bool mayHaveBeenDone);
+    void release() { m_leaving = true; }
+    bool leaving() const { return m_leaving; }
+    // Another owner was found by other means.
+    void giveUp()
+    {
+        m_token = 0;
+        m_stale = true;
+    }
+
+    // The newest claim must be read before the next append.
+    bool mustRead() const { return m_stale || !m_known; }
+
+    bool owns() const { return m_token != 0; }
+    uint64_t token() const { return m_token; }
+    bool mayGrant(ms now) const { return owns() && now - m_provedAt <= m_settings.grantForMs; }
+    ms provedAt() const { return m_provedAt; }
+    const std::optional<claim_record>& current() const { return m_current; }
+
+private:
+    ownership_settings m_settings;
+    claim_record m_self;
+    std::optional<claim_record> m_current;
+    uint64_t m_end = 0;
+    bool m_known = false; // The newest claim has been read.
+    bool m_stale = false; // An append may have been done; the claim must be read again before the next.
+    bool m_appending = false;
+    bool m_leaving = false;
+    uint64_t m_token = 0;
+    ms m_provedAt = 0;
+    ms m_heardAt = 0; // When a proof of the current owner last came.
+    std::optional<ms> m_readSince; // Since when reads have worked without a gap.
+};
+
+} // namespace camphorwell
--- /dev/null
+++ b/src/scheduler/main.cpp
@@ -0,0 +1,117 @@
+// camphorwell-scheduler: one instance of the scheduler.
+#include "scheduler/scheduler.h"
+
+#include <csignal>
+#include <cstdlib>
+#include <fstream>
+#include <getopt.h>
+#include <iostream>
+
+namespace {
+
+using namespace camphorwell;
+
+constexpr int exitBadSettings = 2;
+constexpr int exitCannotStart = 3;
+constexpr const char* settingsVariable = "CAMPHORWELL_CONFIG";
+constexpr const char* helpText
+    = "usage: camphorwell-scheduler [--settings FILE] [--check]\n"
+      "\n"
+      "  --settings FILE  JSON settings of this instance, by default the file that the variable\n"
+      "                   CAMPHORWELL_CONFIG names; docs/OPERATING.md lists the fields\n"
+      "  --check          check the settings and exit\n"
+      "  --help           this text\n"
+      "\n"
+      "exit codes: 0 after a graceful stop, 2 for bad settings or arguments, 3 when it cannot start\n";
+
+struct arguments {
+    std::string settingsFile;
+    bool checkOnly = false;
+};
+
+arguments parseArguments(int argc, char** argv)
+{
+    const option longOptions[]
+        = { { "settings", required_argument, nullptr, 's' }, { "check", no_argument, nullptr, 'c' },
+              { "help", no_argument, nullptr, 'h' }, { nullptr, 0, nullptr, 0 } };
+    arguments out;
+    if (const char* named = std::getenv(settingsVariable))
+        out.settingsFile = named;
+    int chosen = 0;
+    while ((chosen = getopt_long(argc, argv, "", longOptions, nullptr)) != -1) {
+        switch (chosen) {
+        case 's':
+            out.settingsFile = optarg;
+            break;
+        case 'c':
+            out.checkOnly = true;
+            break;
+        case 'h':
+            std::cout << helpText;
+            std::exit(0);
+        default:
+            std::cerr << helpText;
+            std::exit(exitBadSettings);
+        }
+    }
+    if (out.settingsFile.empty()) {
+        std::cerr << helpText;
+        std::exit(exitBadSettings);
+    }
+    return out;
+}
+
+result<scheduler_settings> readSettings(const std::string& file)
+{
+    std::ifstream in(file);
+    if (!in)
+        return boost::leaf::new_error(e_scheduler_settings { { { "", file, "cannot be read" } } });
+    auto document = nlohmann::json::parse(in, nullptr, false);
+    if (document.is_discarded())
+        return boost::leaf::new_error(e_scheduler_settings { { { "", file, "is not JSON" } } });
+    return parseSchedulerSettings(document);
+}
+
+int serve(scheduler_settings settings)
+{
+    settings.incarnation = unixNow();
+    event_loop loop;
+    scheduler_daemon daemon(loop, std::move(settings));
+    loop.onSignal(SIGTERM, [&] { daemon.leave(); });
+    loop.onSignal(SIGINT, [&] { daemon.leave(); });
+    return boost::leaf::try_handle_all(
+        [&]() -> result<int> {
+            BOOST_LEAF_CHECK(daemon.start());
+            loop.run();
+            return 0;
+        },
+        [](const e_net& error) {
+            std::cerr << log_line("cannot_start").add("error", error.what).str() << "\n";
+            return exitCannotStart;
+        },
+        [] { return exitCannotStart; });
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    std::signal(SIGPIPE, SIG_IGN);
+    std::signal(SIGHUP, SIG_IGN);
+    arguments given = parseArguments(argc, argv);
+    return boost::leaf::try_handle_all(
+        [&]() -> result<int> {
+            BOOST_LEAF_AUTO(settings, readSettings(given.settingsFile));
+            if (given.checkOnly) {
+                std::cout << given.settingsFile << ": ok\n";
+                return 0;
+            }
+            return serve(std::move(settings));
+        },
+        [&](const e_scheduler_settings& error) {
+            for (const auto& fault : error.faults)
+                std::cerr << given.settingsFile << ": " << fault.str() << "\n";
+            return exitBadSettings;
+        },
+        [] { return exitBadSettings; });
+}
--- /dev/null
+++ b/src/scheduler/process/daemon.cpp
@@ -0,0 +1,98 @@
+// One instance: its parts, its start and its graceful stop.
+#include "scheduler/scheduler.h"
+
+namespace camphorwell {
+
+namespace {
+    constexpr int logLinesPerSecond = 400;
+    constexpr double serveShare = 0.55; // Of the grace period callers are still served.
+    constexpr ms leaveMarginMs = 700; // Before the end of the grace period the process is gone.
+    constexpr ms leaveCheckMs = 100;
+    constexpr ms figuresEveryMs = 5000;
+} // namespace
+
+struct scheduler_daemon::state {
+    state(event_loop& loop, scheduler_settings given)
+        : settings(std::move(given))
+        , store(loop, settings.store)
+        , log(logLinesPerSecond)
+        , context { loop, settings, store, log, counts }
+        , catalogue(context, [this] { spreadQueues(); })
+        , jobs(context)
+        , calls(context, catalogue, jobs, cells)
+    {
+        for (int i = 0; i < settings.cells; i++)
+            cells.push_back(std::make_unique<cell_host>(context, i));
+    }
+
+    void spreadQueues()
+    {
+        for (auto& each : cells)
+            each->setQueues(catalogue.queues());
+    }
+
+    void checkLeft()
+    {
+        ms spent = bootNow() - leftAt;
+        bool served = spent > static_cast<ms>(static_cast<double>(settings.graceMs) * serveShare);
+        if ((served && calls.open() == 0) || spent > settings.graceMs - leaveMarginMs) {
+            log.writeAlways(log_line("stopped").add("open", static_cast<int64_t>(calls.open())));
+            context.loop.stop();
+            return;
+        }
+        context.loop.after(leaveCheckMs, [this] { checkLeft(); });
+    }
+
+    scheduler_settings settings;
+    platform::store store;
+    event_log log;
+    counters counts;
+    scheduler_context context;
+    catalogue_follower catalogue;
+    job_log jobs;
+    std::vector<std::unique_ptr<cell_host>> cells;
+    front calls;
+    ms leftAt = 0;
+};
+
+scheduler_daemon::scheduler_daemon(event_loop& loop, scheduler_settings settings)
+    : m_state(std::make_unique<state>(loop, std::move(settings)))
+{
+}
+
+scheduler_daemon::~scheduler_daemon() = default;
+
+result<void> scheduler_daemon::start()
+{
+    state& s = *m_state;
+    s.log.writeAlways(log_line("started")
+                          .add("instance", s.settings.instance)
+                          .add("incarnation", s.settings.incarnation)
+                          .add("cells", s.settings.cells));
+    BOOST_LEAF_CHECK(s.calls.listen());
+    s.catalogue.start();
+    for (auto& each : s.cells)
+        each->start();
+    s.context.loop.every(figuresEveryMs, [&s] {
+        log_line line("figures");
+        for (const auto& [name, value] : s.counts)
+            line.add(name, value);
+        s.log.writeAlways(line.add("store_calls", static_cast<int64_t>(s.store.calls())));
+    });
+    return {};
+}
+
+void scheduler_daemon::leave()
+{
+    state& s = *m_state;
+    if (s.leftAt != 0)
+        return;
+    s.leftAt = bootNow();
+    s.log.writeAlways(log_line("stopping").add("open", static_cast<int64_t>(s.calls.open())));
+    s.calls.leave();
+    for (auto& each : s.cells)
+        each->release();
+    s.checkLeft();
+}
+
+} // namespace camphorwell
--- /dev/null
+++ b/src/scheduler/process/event_log.cpp
@@ -0,0 +1,64 @@
+// The log of decisions, and the clocks.
+#include "scheduler/scheduler.h"
+
+#include <ctime>
+#include <fcntl.h>
+#include <unistd.h>
+
+namespace camphorwell {
+
+ms bootNow()
+{
+    timespec at {};
+    clock_gettime(CLOCK_BOOTTIME, &at);
+    return static_cast<ms>(at.tv_sec) * 1000 + at.tv_nsec / 1'000'000;
+}
+
+int64_t unixNow()
+{
+    timespec at {};
+    clock_gettime(CLOCK_REALTIME, &at);
+    return static_cast<int64_t>(at.tv_sec) * 1000 + at.tv_nsec / 1'000'000;
+}
+
+event_log::event_log(int linesPerSecond)
+    : m_rate(linesPerSecond)
+    , m_allowance(linesPerSecond)
+{
+    int flags = fcntl(STDOUT_FILENO, F_GETFL);
+    if (flags >= 0)
+        fcntl(STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK);
+}
+
+void event_log::write(const log_line& line)
+{
+    ms now = bootNow();
+    m_allowance
+        = std::min<double>(m_rate * 2.0, m_allowance + static_cast<double>(now - m_filledAt) * m_rate / 1000);
+    m_filledAt = now;
+    if (m_allowance < 1) {
+        m_dropped++;
+        return;
+    }
+    m_allowance -= 1;
+    writeAlways(line);
+}
+
+void event_log::writeAlways(const log_line& line)
+{
+    if (m_dropped > 0) {
+        int64_t dropped = m_dropped;
+        m_dropped = 0;
+        put(log_line("lines_dropped").add("count", dropped).str());
+    }
+    put("t=" + std::to_string(unixNow()) + " " + line.str() + "\n");
+}
+
+void event_log::put(const std::string& line)
+{
+    // A reader that does not keep up loses lines, never the loop's time.
+    if (::write(STDOUT_FILENO, line.data(), line.size()) < 0)
+        m_dropped++;
+}
+
+} // namespace camphorwell
--- /dev/null
+++ b/src/scheduler/request/front.cpp
@@ -0,0 +1,271 @@
+// Callers' requests, the balancer's check, and questions of other instances.
+//
+// A job is accepted once its record is in the log. What became of it is known to the owner of its cell, which
+// is asked when it is another instance. A refusal says "not run" only when the record is surely not in the
+// log.
+#include "scheduler/scheduler.h"
+
+namespace camphorwell {
+
+namespace {
+
+    constexpr ms waitDefaultMs = 3000; // How long a caller waits who does not say.
+    constexpr double waitShare = 0.85; // Of the caller's time is used before the answer is final.
+    constexpr ms askTimeoutMs = 600;
+    constexpr ms askAgainMs = 100;
+    constexpr ms storeFreshMs = 3500; // Without the store for so long, the instance is not ready.
+    constexpr size_t bodyBytesAtMost = 1 << 20;
+    constexpr int64_t idleMs = 60'000;
+    constexpr size_t waitingAtMost = 2000; // Records that wait for the log.
+    constexpr size_t connectionsToInstance = 4;
+    const char* const cancelPrefix = "x";
+
+    bool isId(const std::string& text)
+    {
+        return text.size() == 16 && text.find_first_not_of("0123456789abcdefABCDEF") == std::string::npos;
+    }
+
+} // namespace
+
+struct front::call {
+    http_request request;
+    std::shared_ptr<http_reply> reply;
+    const platform::route* route = nullptr; // Only until the handler returns.
+    std::string queue;
+    std::string id;
+    ms receivedAt = 0;
+    ms deadline = 0;
+    bool answered = false;
+};
+
+front::front(scheduler_context& context, catalogue_follower& catalogue, job_log& jobs,
+    std::vector<std::unique_ptr<cell_host>>& cells)
+    : m_context(context)
+    , m_catalogue(catalogue)
+    , m_jobs(jobs)
+    , m_cells(cells)
+{
+}
+
+front::~front() = default;
+
+result<void> front::listen()
+{
+    http_limits limits { bodyBytesAtMost, idleMs };
+    auto open = [&](auto handler) { return std::make_unique<http_server>(m_context.loop, limits, handler); };
+    m_callers = open([this](http_request asked, std::shared_ptr<http_reply> reply) {
+        onCaller(std::move(asked), std::move(reply));
+    });
+    m_readiness
+        = open([this](const http_request&, std::shared_ptr<http_reply> reply) { onReadiness(reply); });
+    m_instances = open(
+        [this](const http_request& asked, std::shared_ptr<http_reply> reply) { onInstance(asked, reply); });
+    auto [callerHost, callerPort] = platform::splitAddress(m_context.settings.callers);
+    BOOST_LEAF_CHECK(m_callers->listen(callerHost, callerPort));
+    auto [readyHost, readyPort] = platform::splitAddress(m_context.settings.readiness);
+    BOOST_LEAF_CHECK(m_readiness->listen(readyHost, readyPort));
+    return m_instances->listen(m_context.settings.address, m_context.settings.internalPort);
+}
+
+bool front::ready() const
+{
+    return !m_leaving && m_catalogue.current() && bootNow() - m_context.storeOkAt < storeFreshMs;
+}
+
+void front::onReadiness(const std::shared_ptr<http_reply>& reply)
+{
+    reply->send(ready() ? 200 : 503, {}, "");
+}
+
+int front::cellOf(const job_id& id) const
+{
+    return static_cast<int>(stableHash(id) % static_cast<uint64_t>(m_cells.size()));
+}
+
+http_client& front::instanceAt(const std::string& address)
+{
+    auto& held = m_others[address];
+    if (!held) {
+        auto [host, port] = platform::splitAddress(address);
+        held = std::make_unique<http_client>(m_context.loop, host, port, connectionsToInstance);
+    }
+    return *held;
+}
+
+void front::answer(const call_ptr& call, int status, const std::string& body, std::string_view why)
+{
+    if (call->answered)
+        return;
+    call->answered = true;
+    m_open--;
+    header_list headers;
+    if (!body.empty())
+        headers.emplace_back("Content-Type", "application/json");
+    if (status == 503 || status == 429)
+        headers.emplace_back("Retry-After", "1");
+    if (m_leaving)
+        headers.emplace_back("Connection", "close");
+    m_context.counts["answer_" + std::to_string(status)]++;
+    if (status != 200 || call->request.method != "GET")
+        m_context.log.write(log_line("answer")
+                                .add("id", call->id)
+                                .add("method", call->request.method)
+                                .add("queue", call->queue)
+                                .add("status", status)
+                                .add("why", why)
+                                .add("took_ms", bootNow() - call->receivedAt));
+    call->reply->send(status, headers, body);
+}
+
+void front::onCaller(http_request request, std::shared_ptr<http_reply> reply)
+{
+    auto asked = std::make_shared<call>();
+    asked->request = std::move(request);
+    asked->reply = std::move(reply);
+    asked->receivedAt = bootNow();
+    ms wait = platform::timeLeft(asked->request).value_or(waitDefaultMs);
+    asked->deadline = asked->receivedAt + static_cast<ms>(static_cast<double>(wait) * waitShare);
+    m_open++;
+    const platform::configuration* current = m_catalogue.current();
+    if (!current)
+        return answer(asked, 503, "", "no_configuration");
+    const std::string* host = asked->request.header("host");
+    std::string name = host ? host->substr(0, host->find(':')) : std::string();
+    const platform::route* route = m_catalogue.find(name, asked->request.path);
+    if (!route)
+        return answer(asked, 404, "", "no_such_queue");
+    asked->route = route;
+    asked->queue = route->queue.name;
+    asked->id = asked->request.path.substr(route->prefix.size());
+    if (asked->request.oversized
+        || (current->maxBodyBytes > 0 && asked->request.body.size() > current->maxBodyBytes))
+        return answer(asked, 413, "", "body_too_large");
+    const std::string& method = asked->request.method;
+    if (method == "GET" && asked->id.empty())
+        return tellPending(asked);
+    if (!isId(asked->id))
+        return answer(asked, 400, "", "malformed_id");
+    if (method == "POST")
+        return submit(asked);
+    if (method == "GET")
+        return tellState(asked);
+    if (method == "DELETE")
+        return cancel(asked);
+    answer(asked, 405, "", "method");
+}
+
+void front::submit(const call_ptr& call)
+{
+    auto read = platform::readJob(call->request.body);
+    if (auto* fault = std::get_if<std::string>(&read))
+        return answer(call, 400, "", *fault);
+    if (m_jobs.waiting() >= waitingAtMost)
+        return answer(call, 503, "", "log_backlog");
+    job_record record { call->queue, unixNow(), std::move(std::get<job_spec>(read)) };
+    call->request.body.clear();
+    call->request.body.shrink_to_fit();
+    m_jobs.append(
+        cellOf(call->id), call->id, encodeJob(record), call->deadline, [this, call](job_log::outcome got) {
+            if (got == job_log::outcome::accepted)
+                answer(call, 200, "", "accepted");
+            else if (got == job_log::outcome::refused)
+                answer(call, 503, "", "log_refuses");
+            else
+                answer(call, 504, "", "log_unanswered");
+        });
+}
+
+void front::cancel(const call_ptr& call)
+{
+    m_jobs.append(
+        cellOf(call->id), cancelPrefix + call->id, "x", call->deadline, [this, call](job_log::outcome got) {
+            bool done = got == job_log::outcome::accepted;
+            answer(call, done ? 200 : 504, "", done ? "cancelled" : "log_unanswered");
+        });
+}
+
+void front::tellState(const call_ptr& call)
+{
+    auto give = [this, call](const job_answer& known) {
+        if (known.known)
+            answer(call, 200, platform::writeState(known.state), "state");
+        else
+            answer(call, 410, "", "no_such_job");
+    };
+    cell_host& cell = *m_cells[static_cast<size_t>(cellOf(call->id))];
+    if (auto known = cell.stateOf(call->id))
+        return give(*known);
+    askOwner(call, "/state/" + call->id, [this, call, give](const http_response& got) {
+        if (got.status == 410) {
+            give({});
+            return true;
+        }
+        if (got.status == 200)
+            answer(call, 200, got.body, "state_of_owner");
+        return got.status == 200;
+    });
+}
+
+void front::tellPending(const call_ptr& call)
+{
+    if (auto count = m_cells.front()->pending(call->queue))
+        return answer(call, 200, platform::writePending(*count), "pending");
+    askOwner(call, "/pending/" + call->queue, [this, call](const http_response& got) {
+        if (got.status == 200)
+            answer(call, 200, got.body, "pending_of_owner");
+        return got.status == 200;
+    });
+}
+
+// Asks the owner of the call's cell until `take` is content or the caller's time is over.
+void front::askOwner(
+    const call_ptr& call, const std::string& path, std::function<bool(const http_response&)> take)
+{
+    if (call->answered)
+        return;
+    if (call->reply->callerGone())
+        return answer(call, 503, "", "caller_gone");
+    if (bootNow() + askAgainMs >= call->deadline)
+        return answer(call, 503, "", "no_owner");
+    auto again = [this, call, path, take] {
+        m_context.loop.after(askAgainMs, [this, call, path, take] { askOwner(call, path, take); });
+    };
+    cell_host& cell = *m_cells[call->id.empty() ? 0 : static_cast<size_t>(cellOf(call->id))];
+    auto owner = cell.ownerAddress();
+    if (!owner)
+        return again();
+    instanceAt(*owner).call("GET", path, {}, {}, askTimeoutMs, [again, take](const http_response& got) {
+        if (!take(got))
+            again();
+    });
+}
+
+void front::onInstance(const http_request& asked, const std::shared_ptr<http_reply>& reply)
+{
+    const std::string statePath = "/state/";
+    const std::string pendingPath = "/pending/";
+    if (asked.path.starts_with(statePath)) {
+        std::string id = asked.path.substr(statePath.size());
+        auto known = m_cells[static_cast<size_t>(cellOf(id))]->stateOf(id);
+        if (!known)
+            reply->send(503, {}, "");
+        else
+            reply->send(known->known ? 200 : 410, {}, known->known ? platform::writeState(known->state) : "");
+        return;
+    }
+    if (asked.path.starts_with(pendingPath)) {
+        auto count = m_cells.front()->pending(asked.path.substr(pendingPath.size()));
+        reply->send(count ? 200 : 503, {}, count ? platform::writePending(*count) : "");
+        return;
+    }
+    if (asked.path == "/metrics") {
+        std::string text;
+        for (const auto& [name, value] : m_context.counts)
+            text += "camphorwell_" + name + " " + std::to_string(value) + "\n";
+        reply->send(200, { { "Content-Type", "text/plain" } }, text);
+        return;
+    }
+    reply->send(404, {}, "");
+}
+
+} // namespace camphorwell
--- /dev/null
+++ b/src/scheduler/scheduler.h
@@ -0,0 +1,200 @@
+// The scheduler daemon: one instance of the scheduler in front of the workers.
+//
+//   event_loop loop;
+//   scheduler_daemon daemon(loop, settings);
+//   daemon.start();
+//   loop.run();
+//
+// Every instance takes jobs from callers and answers for them. One instance owns each cell (see jobs.h) and
+// is replaced by any other when it goes. What must last is in the platform's store:
+//
+//   jobs-C      accepted jobs and cancels of cell C, by id
+//   progress-C  what was started and has ended, by job; written by the owner alone, fenced by its token
+//   claims      partition C: who owns cell C
+//
+// Parts, by life span: request/front.cpp (a caller's request), version/catalogue.cpp (the configuration in
+// force), process/ (the owner's work, the instance).
+//
+// Units: milliseconds on the boot clock. Errors: settings that cannot be used are `e_settings` with the path
+// of each wrong field. Threading: one loop on one thread.
+#pragma once
+
+#include "platform/platform.h"
+#include "schema/schema.h"
+
+namespace camphorwell {
+
+struct e_scheduler_settings {
+    std::vector<field_error> faults;
+};
+
+struct scheduler_settings {
+    instance_id instance;
+    std::string dataCentre;
+    std::string address; // IP address of this instance.
+    std::string callers; // HOST:PORT for callers.
+    std::string readiness; // HOST:PORT for the balancer's check.
+    uint16_t internalPort = 0; // For other instances.
+    platform::store_settings store;
+    std::string advice; // HOST:PORT; empty: there is none.
+    int cells = 1;
+    ms graceMs = 6000; // From SIGTERM to SIGKILL.
+    cell_settings cell;
+    ownership_settings ownership;
+    int64_t incarnation = 0;
+};
+result<scheduler_settings> parseSchedulerSettings(const nlohmann::json&);
+
+// Time that counts on while the machine is suspended.
+ms bootNow();
+int64_t unixNow();
+
+// Writes structured lines to standard output. Never blocks: lines beyond the rate, or that the reader does
+// not take, are dropped and counted.
+class event_log {
+public:
+    explicit event_log(int linesPerSecond);
+    void write(const log_line&);
+    // Lines that matter to every incident pass the rate.
+    void writeAlways(const log_line&);
+
+private:
+    void put(const std::string&);
+    int m_rate;
+    double m_allowance;
+    ms m_filledAt = 0;
+    int64_t m_dropped = 0;
+};
+
+using counters = std::map<std::string, int64_t>;
+
+// What the parts of an instance share.
+struct scheduler_context {
+    event_loop& loop;
+    const scheduler_settings& settings;
+    platform::store& store;
+    event_log& log;
+    counters& counts;
+    ms storeOkAt = 0; // When the store last answered.
+};
+
+// The configuration in force. Versions only rise.
+class catalogue_follower {
+public:
+    catalogue_follower(scheduler_context&, std::function<void()> onChange);
+    void start();
+    const platform::configuration* current() const { return m_current ? &*m_current : nullptr; }
+    std::shared_ptr<const queue_table> queues() const { return m_queues; }
+    // The route of a caller's request: same host, longest prefix of the path.
+    const platform::route* find(const std::string& host, const std::string& path) const;
+
+private:
+    void readNewest();
+    void follow();
+    void take(const platform::keyed_item&);
+    scheduler_context& m_context;
+    std::function<void()> m_onChange;
+    std::optional<platform::configuration> m_current;
+    std::shared_ptr<const queue_table> m_queues = std::make_shared<queue_table>();
+    uint64_t m_next = 0;
+};
+
+// Appends accepted jobs and cancels, those that arrive meanwhile together.
+class job_log {
+public:
+    enum class outcome { accepted, refused, unknown };
+    using handler = std::function<void(outcome)>;
+    explicit job_log(scheduler_context&);
+    // Tries until `deadline`. `refused` means that the record is not in the log and never will be.
+    void append(int cell, std::string key, std::string value, ms deadline, handler);
+    size_t waiting() const;
+
+private:
+    struct entry {
+        std::string record;
+        ms deadline = 0;
+        handler done;
+        bool maybeDone = false;
+    };
+    void flush(int cell);
+    scheduler_context& m_context;
+    int m_partition;
+    std::vector<std::vector<entry>> m_waiting;
+    std::vector<bool> m_busy;
+};
+
+struct job_answer {
+    bool known = false; // False: no such job.
+    job_state state = job_state::queued;
+};
+
+// One cell as this instance sees it: who owns it, and all the work of owning it.
+class cell_host {
+public:
+    cell_host(scheduler_context&, int cellNumber);
+    ~cell_host();
+    void start();
+    void setQueues(std::shared_ptr<const queue_table>);
+    bool active() const;
+    // HOST:PORT of the owner, when another instance is it.
+    std::optional<std::string> ownerAddress() const;
+    // Nothing when this instance cannot tell.
+    std::optional<job_answer> stateOf(const job_id&) const;
+    std::optional<int64_t> pending(const std::string& queue) const;
+    // Gives the cell to whoever claims it next.
+    void release();
+
+private:
+    struct state;
+    std::unique_ptr<state> m_state;
+};
+
+// Answers callers, the balancer and other instances.
+class front {
+public:
+    front(scheduler_context&, catalogue_follower&, job_log&, std::vector<std::unique_ptr<cell_host>>&);
+    ~front();
+    result<void> listen();
+    void leave() { m_leaving = true; }
+    size_t open() const { return m_open; }
+
+private:
+    struct call;
+    using call_ptr = std::shared_ptr<call>;
+    void onCaller(http_request, std::shared_ptr<http_reply>);
+    void onInstance(const http_request&, const std::shared_ptr<http_reply>&);
+    void onReadiness(const std::shared_ptr<http_reply>&);
+    void submit(const call_ptr&);
+    void cancel(const call_ptr&);
+    void tellState(const call_ptr&);
+    void tellPending(const call_ptr&);
+    void askOwner(const call_ptr&, const std::string& path, std::function<bool(const http_response&)>);
+    void answer(const call_ptr&, int status, const std::string& body, std::string_view why);
+    bool ready() const;
+    int cellOf(const job_id&) const;
+    http_client& instanceAt(const std::string& address);
+
+    scheduler_context& m_context;
+    catalogue_follower& m_catalogue;
+    job_log& m_jobs;
+    std::vector<std::unique_ptr<cell_host>>& m_cells;
+    std::unique_ptr<http_server> m_callers, m_readiness, m_instances;
+    std::map<std::string, std::unique_ptr<http_client>> m_others;
+    bool m_leaving = false;
+    size_t m_open = 0;
+};
+
+class scheduler_daemon {
+public:
+    scheduler_daemon(event_loop&, scheduler_settings);
+    ~scheduler_daemon();
+    result<void> start();
+    // Stops taking new connections, gives its cells away, answers what is open, and ends the loop.
+    void leave();
+
+private:
+    struct state;
+    std::unique_ptr<state> m_state;
+};
+
+} // namespace camphorwell
--- /dev/null
+++ b/src/scheduler/version/catalogue.cpp
@@ -0,0 +1,97 @@
+// Follows the operator's configuration. A waiting read brings each version at once; when the records read on
+// from are gone, the newest is read instead.
+#include "scheduler/scheduler.h"
+
+namespace camphorwell {
+
+namespace {
+    constexpr ms waitMs = 1000; // Also bounds how long a silent connection goes unnoticed.
+    constexpr ms retryMs = 150;
+} // namespace
+
+catalogue_follower::catalogue_follower(scheduler_context& context, std::function<void()> onChange)
+    : m_context(context)
+    , m_onChange(std::move(onChange))
+{
+}
+
+void catalogue_follower::start() { readNewest(); }
+
+void catalogue_follower::readNewest()
+{
+    m_context.store.newest(platform::operatorTopic, 0, [this](const platform::newest_answer& answer) {
+        if (answer.outcome != platform::store_outcome::done) {
+            m_context.counts["configuration_read_failed"]++;
+            m_context.loop.after(retryMs, [this] { readNewest(); });
+            return;
+        }
+        m_context.storeOkAt = bootNow();
+        for (const auto& each : answer.items)
+            take(each);
+        m_next = answer.end;
+        follow();
+    });
+}
+
+void catalogue_follower::follow()
+{
+    m_context.store.read(
+        platform::operatorTopic, 0, m_next, waitMs, [this](const platform::read_answer& answer) {
+            if (answer.outcome == platform::store_outcome::expired) {
+                readNewest();
+                return;
+            }
+            if (answer.outcome != platform::store_outcome::done) {
+                m_context.counts["configuration_read_failed"]++;
+                m_context.loop.after(retryMs, [this] { follow(); });
+                return;
+            }
+            m_context.storeOkAt = bootNow();
+            for (const auto& record : answer.records) {
+                if (auto item = platform::readKeyed(record))
+                    take(*item);
+            }
+            m_next = answer.next;
+            follow();
+        });
+}
+
+void catalogue_follower::take(const platform::keyed_item& item)
+{
+    if (item.key != platform::configurationKey)
+        return;
+    auto read = platform::readConfiguration(item.value);
+    if (!read) {
+        m_context.counts["configuration_unreadable"]++;
+        m_context.log.writeAlways(
+            log_line("configuration_unreadable").add("offset", static_cast<int64_t>(item.offset)));
+        return;
+    }
+    if (m_current && read->version <= m_current->version)
+        return;
+    m_current = std::move(read);
+    auto table = std::make_shared<queue_table>(*m_queues);
+    // A queue whose route was removed keeps its last policy for the jobs it has accepted.
+    for (const auto& each : m_current->routes)
+        (*table)[each.queue.name] = each.queue;
+    m_queues = table;
+    m_context.log.writeAlways(log_line("configuration")
+                                  .add("version", m_current->version)
+                                  .add("routes", static_cast<int64_t>(m_current->routes.size())));
+    m_onChange();
+}
+
+const platform::route* catalogue_follower::find(const std::string& host, const std::string& path) const
+{
+    const platform::route* best = nullptr;
+    if (!m_current)
+        return best;
+    for (const auto& each : m_current->routes) {
+        bool fits = each.host == host && path.compare(0, each.prefix.size(), each.prefix) == 0;
+        if (fits && (!best || each.prefix.size() > best->prefix.size()))
+            best = &each;
+    }
+    return best;
+}
+
+} // namespace camphorwell
