Restored steps that are done stay in the record; clocks before recovery

Cause: a step that was done under an earlier owner was not marked open, so the next record left it out and the owner after that ran it again. Jobs taken at recovery were aged by a clock that was not set yet. Ruled out: lost pages of the newest records (counts logged at each recovery match).

--- a/src/jobs/process/cell.cpp
+++ b/src/jobs/process/cell.cpp
@@ -49,12 +49,17 @@
 void cell::setMayGrant(bool may) { m_model->mayGrant = may; }
 bool cell::fenced() const { return m_model->fenced; }
 
+void cell::setClock(ms now, int64_t unixMs)
+{
+    m_model->now = now;
+    m_model->unixOffset = unixMs - now;
+}
+
 void cell::begin(ms now, int64_t unixMs)
 {
+    setClock(now, unixMs);
     m_model->begun = true;
     m_model->beganAt = now;
-    m_model->now = now;
-    m_model->unixOffset = unixMs - now;
     for (auto& [id, job] : m_model->jobs) {
         if (!job->haveRecord && !job->over())
             m_model->log(log_line("progress_without_job").add("job", id));
@@ -65,8 +70,7 @@
 void cell::tick(ms now, int64_t unixMs)
 {
     cell_model& m = *m_model;
-    m.now = now;
-    m.unixOffset = unixMs - now;
+    setClock(now, unixMs);
     std::vector<job_run*> due(m.timed.begin(), m.timed.end());
     for (job_run* job : due)
         m.openDueOccurrences(*job);
@@ -244,7 +248,9 @@
 void cell_model::openReadySteps(occurrence_run& live)
 {
     for (step_run& step : live.steps) {
-        if (step.open || step.undone == 0)
+        if (step.undone == 0)
+            step.open = true; // Done under an earlier owner; its record must go on telling so.
+        if (step.open)
             continue;
         const auto& before = step.spec->dependsOn;
         step.open = std::all_of(before.begin(), before.end(),
--- a/src/jobs/process/cell.h
+++ b/src/jobs/process/cell.h
@@ -39,6 +39,7 @@
     cell& operator=(const cell&) = delete;
 
     // What an earlier owner recorded; before `begin` and before the jobs themselves are added.
+    void setClock(ms now, int64_t unixMs);
     void restoreProgress(const job_id&, std::string_view bytes);
     void begin(ms now, int64_t unixMs);
 
--- a/src/scheduler/process/cell_host_recovery.cpp
+++ b/src/scheduler/process/cell_host_recovery.cpp
@@ -20,6 +20,7 @@
     begun = false;
     owned = std::make_unique<cell>(
         context.settings.cell, queues, [this](const log_line& line) { context.log.write(line); });
+    owned->setClock(takenAt, unixNow());
     tails.clear();
     for (int i = 0; i < context.settings.store.partitions; i++)
         tails.push_back({ i, 0, 0, {} });
@@ -63,6 +64,10 @@
             again(current, retryMs, [this, current] { recoverProgress(current); });
             return;
         }
+        context.log.writeAlways(log_line("progress_read")
+                                    .add("cell", number)
+                                    .add("records", static_cast<int64_t>(answer.items.size()))
+                                    .add("end", static_cast<int64_t>(answer.end)));
         for (const auto& each : answer.items) {
             if (!each.value.empty())
                 owned->restoreProgress(each.key, each.value);
