Learn which fillers disturb which serving tasks; wait for records before the next look

Change: the rise of a tail for each core of a filler is learnt for each pair of images; only the filler that presses most is slowed, placement avoids it; lasting tasks are packed.

--- a/src/jobs/process/cell.cpp
+++ b/src/jobs/process/cell.cpp
@@ -268,6 +268,7 @@
     if (task.done || task.waiting || !task.copies.empty() || step.job->over() || !step.open)
         return;
     task.waiting = true;
+    task.waitingSince = now;
     step.waiting.push_back(index);
     enqueue(step);
 }
--- a/src/jobs/process/cell_model.h
+++ b/src/jobs/process/cell_model.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "jobs/jobs.h"
+#include "jobs/process/interference.h"
 
 #include <deque>
 
@@ -30,6 +31,8 @@
     ms percentAt = 0; // When the percentage last rose.
     int64_t load = 0;
     int pace = 100;
+    ms pacedAt = 0;
+    ms slowSince = 0; // Since when its pace is low; 0: it is not.
     std::string ticket;
 };
 
@@ -39,6 +42,7 @@
     bool done = false;
     bool waiting = false; // Listed in step_run::waiting.
     ms notBefore = 0;
+    ms waitingSince = 0;
     worker_state* failedOn = nullptr;
     std::string checkpoint;
     std::vector<task_copy> copies;
@@ -108,6 +112,11 @@
     uint32_t run = 0;
 };
 
+struct serving_figure {
+    std::string image;
+    double ratio = 0; // Tail / target.
+};
+
 struct worker_state {
     worker_record info;
     bool listed = false; // The platform lists it.
@@ -116,9 +125,9 @@
     resources booked; // Fillers book memory and accelerators only.
     int64_t fillerCpu = 0;
     int64_t servingCpu = 0; // Booked by lasting tasks, which use a part of it.
-    int fillerPace = 100;
-    ms pacedAt = 0;
-    ms pausedSince = 0; // Since when fillers stand still; 0: they do not.
+    std::vector<serving_figure> serving; // As of the last sample.
+    ms sampledAt = 0;
+    ms fillersChangedAt = 0;
 
     bool looking = false;
     ms lookAt = 0;
@@ -135,7 +144,6 @@
     int failuresInRow = 0;
     ms shunnedUntil = 0;
     ms shunMs = 0;
-    ms hotUntil = 0; // A serving task there is over its target: no fillers.
     ms drainedAt = 0;
 
     ms workerNow(ms now) const { return clockWorkerMs + (now - clockAt); }
@@ -153,6 +161,7 @@
     cell_settings settings;
     std::shared_ptr<const queue_table> queues;
     decision_log log;
+    interference pressure;
 
     std::unordered_map<job_id, std::unique_ptr<job_run>> jobs;
     std::map<worker_id, std::unique_ptr<worker_state>> workers;
@@ -233,8 +242,11 @@
 
     // cell_sharing.cpp
     void share();
-    void setPace(worker_state&, int percent);
-    void evictFillers(worker_state&);
+    void sample(worker_state&);
+    double expectedTail(const worker_state&, const std::string& filler, double added) const;
+    void setPace(worker_state&, const placement&, task_copy&, int percent);
+    void slowFillers(worker_state&);
+    void raiseFillers(worker_state&);
 };
 
 } // namespace camphorwell
--- a/src/jobs/process/cell_placing.cpp
+++ b/src/jobs/process/cell_placing.cpp
@@ -4,10 +4,10 @@
 // meets its objective. Jobs that have missed it come after those that still can, and those past three times
 // the objective last. Answers the load of a full service: room goes to the work that still helps its caller.
 //
-// Choice: lasting tasks go where the least of their job runs already and most room is left, so that the loss
-// of a worker costs each job little. Other tasks take the tightest fit, which keeps large holes for large
-// tasks. Fillers book no processors; they go where the others leave most, and nowhere a serving task is over
-// its target.
+// Choice: lasting tasks go where the least of their job runs already, so that the loss of a worker costs each
+// job little. Among those, and for all others that book processors, the tightest fit is taken, which keeps
+// large holes for large tasks, and workers without serving tasks for fillers that disturb them. Fillers book
+// no processors; they go where the others leave most and the tails of serving tasks rise least.
 #include "jobs/process/cell_model.h"
 
 #include <algorithm>
@@ -19,6 +19,11 @@
     constexpr ms orderEveryMs = 400; // Period in which deadlines that have passed change the order.
     constexpr double servingUse = 0.5; // Share of their booked processors that lasting tasks use.
     constexpr double fillerRoom = 0.9; // A filler needs this share of its processors left over.
+    constexpr double tailCalm = 0.5; // Tail / target from which on a filler looks for a better place.
+    constexpr double tailLimit = 0.85; // Over it a filler waits for another place.
+    constexpr double tailWeight = 40'000; // Thousandths of a core for each target's worth of tail.
+    constexpr ms patienceMs
+        = 1500; // After so long a filler goes where it disturbs least, and is slowed there.
     constexpr ms adviceAgainMs = 500;
     constexpr ms freshMs = 1500; // A worker must have answered so recently, beyond the wait of a look.
 
@@ -87,18 +92,22 @@
         if (!usable(worker) || (rack && worker.info.rack != *rack) || !need.fits(worker.room()))
             continue;
         int64_t left = leftForFillers(worker);
-        if (spec.filler
-            && (worker.hotUntil > now || worker.fillerPace < 100
-                || left < static_cast<int64_t>(static_cast<double>(spec.cpuMilli) * fillerRoom)))
-            continue;
+        double tail = 0;
+        if (spec.filler) {
+            if (left < static_cast<int64_t>(static_cast<double>(spec.cpuMilli) * fillerRoom))
+                continue;
+            tail = expectedTail(worker, spec.image, static_cast<double>(spec.cpuMilli) / 1000);
+            if (tail > tailLimit && now - task.waitingSince < patienceMs)
+                continue;
+        }
         if (!allowed(step, worker))
             continue;
         auto room = static_cast<double>(worker.room().cpuMilli);
         double score = -room;
         if (spec.filler)
-            score = static_cast<double>(left);
+            score = static_cast<double>(left) - tailWeight * std::max(0.0, tail - tailCalm);
         if (spec.lasting)
-            score = room - 1e6 * copiesOn(step, worker);
+            score = -room - 1e6 * copiesOn(step, worker);
         if (!spec.nearRack.empty() && spec.nearRack != worker.info.rack)
             score -= 1e7;
         if (task.failedOn == &worker)
--- a/src/jobs/process/cell_workers.cpp
+++ b/src/jobs/process/cell_workers.cpp
@@ -18,6 +18,7 @@
     constexpr ms stopAgainMs = 700; // A stop without an answer is repeated after this.
     constexpr ms lookAgainMs = 250; // After a look that failed, times the failures in a row.
     constexpr ms lookAgainMostMs = 1000;
+    constexpr ms unacknowledgedMs = 300; // Between looks while ends wait for their record.
     constexpr size_t mostEndsListed = 500; // A report with so many ends may hold back more.
     constexpr int failuresToShun = 3; // Failed tasks in a row.
     constexpr ms shunMs = 3000; // Doubled each time, up to eight times.
@@ -112,7 +113,9 @@
         worker_state& worker = *held;
         if (!worker.placed.empty() && leaseSurelyOver(worker))
             loseAll(worker, "lease_over");
-        if (worker.looking || now < worker.lookAt || worker.info.address.empty())
+        // A look comes back at once while ends are listed that are not acknowledged.
+        bool early = worker.processed != worker.acknowledged && now - worker.answeredAt < unacknowledgedMs;
+        if (worker.looking || now < worker.lookAt || early || worker.info.address.empty())
             continue;
         if (!worker.listed && worker.placed.empty())
             continue;
@@ -355,6 +358,7 @@
     worker.booked
         = worker.booked + resources { spec.filler ? 0 : spec.cpuMilli, spec.memoryMb, spec.accelerators, 0 };
     worker.fillerCpu += spec.filler ? spec.cpuMilli : 0;
+    worker.fillersChangedAt = spec.filler ? now : worker.fillersChangedAt;
     worker.servingCpu += spec.lasting ? spec.cpuMilli : 0;
     worker.placed.push_back({ &step, index, run });
     task.lastRun = std::max(task.lastRun, run);
@@ -378,6 +382,7 @@
     worker.booked
         = worker.booked - resources { spec.filler ? 0 : spec.cpuMilli, spec.memoryMb, spec.accelerators, 0 };
     worker.fillerCpu -= spec.filler ? spec.cpuMilli : 0;
+    worker.fillersChangedAt = spec.filler ? now : worker.fillersChangedAt;
     worker.servingCpu -= spec.lasting ? spec.cpuMilli : 0;
     std::erase_if(task.copies, [&](const task_copy& each) { return each.run == run && each.on == &worker; });
     placeNeeded = true;
