Learn strain of image pairs by least squares; keep lasting tasks of an image together

Cause: tails rise as 1 / (1 - strain), so learning on tails blamed harmless fillers, and a filler was slowed by every serving task near its target, pressed or not.

--- a/src/jobs/process/cell_model.h
+++ b/src/jobs/process/cell_model.h
@@ -31,7 +31,8 @@
     ms percentAt = 0; // When the percentage last rose.
     int64_t load = 0;
     int pace = 100;
-    ms pacedAt = 0;
+    int figurePace = 0; // The pace that the worker's figures show already.
+    ms changedAt = 0; // Of the pace, or of the start.
     ms slowSince = 0; // Since when its pace is low; 0: it is not.
     std::string ticket;
 };
@@ -114,7 +115,7 @@
 
 struct serving_figure {
     std::string image;
-    double ratio = 0; // Tail / target.
+    double strain = 0;
 };
 
 struct worker_state {
@@ -126,6 +127,7 @@
     int64_t fillerCpu = 0;
     int64_t servingCpu = 0; // Booked by lasting tasks, which use a part of it.
     std::vector<serving_figure> serving; // As of the last sample.
+    std::map<std::string, double> unseenFillers; // Cores, by image, that the sample does not show yet.
     ms sampledAt = 0;
     ms fillersChangedAt = 0;
 
@@ -243,7 +245,7 @@
     // cell_sharing.cpp
     void share();
     void sample(worker_state&);
-    double expectedTail(const worker_state&, const std::string& filler, double added) const;
+    double excessStrain(const worker_state&, const std::string& filler, double added) const;
     void setPace(worker_state&, const placement&, task_copy&, int percent);
     void slowFillers(worker_state&);
     void raiseFillers(worker_state&);
--- a/src/jobs/process/cell_placing.cpp
+++ b/src/jobs/process/cell_placing.cpp
@@ -5,9 +5,10 @@
 // the objective last. Answers the load of a full service: room goes to the work that still helps its caller.
 //
 // Choice: lasting tasks go where the least of their job runs already, so that the loss of a worker costs each
-// job little. Among those, and for all others that book processors, the tightest fit is taken, which keeps
-// large holes for large tasks, and workers without serving tasks for fillers that disturb them. Fillers book
-// no processors; they go where the others leave most and the tails of serving tasks rise least.
+// job little, and beside others of their image, which fillers disturb alike. Among those, and for all others
+// that book processors, the tightest fit is taken, which keeps large holes for large tasks, and workers
+// without serving tasks for fillers that disturb them. Fillers book no processors; they go where the others
+// leave most and the tails of serving tasks rise least.
 #include "jobs/process/cell_model.h"
 
 #include <algorithm>
@@ -19,9 +20,9 @@
     constexpr ms orderEveryMs = 400; // Period in which deadlines that have passed change the order.
     constexpr double servingUse = 0.5; // Share of their booked processors that lasting tasks use.
     constexpr double fillerRoom = 0.9; // A filler needs this share of its processors left over.
-    constexpr double tailCalm = 0.5; // Tail / target from which on a filler looks for a better place.
-    constexpr double tailLimit = 0.85; // Over it a filler waits for another place.
-    constexpr double tailWeight = 40'000; // Thousandths of a core for each target's worth of tail.
+    constexpr double strainMargin = 0.10; // A filler waits for a worker where this much strain is left.
+    constexpr double strainCalm = 0.35; // With more left, strain does not count in the choice.
+    constexpr double strainWeight = 60'000; // Thousandths of a core for the whole of a strain.
     constexpr ms patienceMs
         = 1500; // After so long a filler goes where it disturbs least, and is slowed there.
     constexpr ms adviceAgainMs = 500;
@@ -54,6 +55,15 @@
         return count;
     }
 
+    // Lasting tasks of other images there.
+    int strangersOn(const step_run& step, const worker_state& worker)
+    {
+        int count = 0;
+        for (const placement& each : worker.placed)
+            count += each.step->spec->lasting && each.step->spec->image != step.spec->image;
+        return count;
+    }
+
 } // namespace
 
 bool cell_model::usable(const worker_state& worker) const
@@ -92,12 +102,12 @@
         if (!usable(worker) || (rack && worker.info.rack != *rack) || !need.fits(worker.room()))
             continue;
         int64_t left = leftForFillers(worker);
-        double tail = 0;
+        double excess = -1;
         if (spec.filler) {
             if (left < static_cast<int64_t>(static_cast<double>(spec.cpuMilli) * fillerRoom))
                 continue;
-            tail = expectedTail(worker, spec.image, static_cast<double>(spec.cpuMilli) / 1000);
-            if (tail > tailLimit && now - task.waitingSince < patienceMs)
+            excess = excessStrain(worker, spec.image, static_cast<double>(spec.cpuMilli) / 1000);
+            if (excess > -strainMargin && now - task.waitingSince < patienceMs)
                 continue;
         }
         if (!allowed(step, worker))
@@ -105,9 +115,9 @@
         auto room = static_cast<double>(worker.room().cpuMilli);
         double score = -room;
         if (spec.filler)
-            score = static_cast<double>(left) - tailWeight * std::max(0.0, tail - tailCalm);
+            score = static_cast<double>(left) - strainWeight * std::max(0.0, excess + strainCalm);
         if (spec.lasting)
-            score = -room - 1e6 * copiesOn(step, worker);
+            score = -room - 1e6 * copiesOn(step, worker) - 1e5 * strangersOn(step, worker);
         if (!spec.nearRack.empty() && spec.nearRack != worker.info.rack)
             score -= 1e7;
         if (task.failedOn == &worker)
--- a/src/jobs/process/cell_sharing.cpp
+++ b/src/jobs/process/cell_sharing.cpp
@@ -1,36 +1,45 @@
 // Fillers beside tasks that serve.
 //
-// A serving task reports the tail of its response times, half a second late and roughly. When one is over its
-// target, the filler beside it that presses most on it, by what has been learnt of their images, is slowed,
-// by about as much as is too much. Fillers are let go again as far as all tails stay under their targets. A
-// filler that has been slowed for a while is evicted with its checkpoint, to run where it disturbs less.
-// Answers the load of serving tasks whose own traffic swings while batch work fills what they leave.
+// A serving task reports the tail of its response times, half a second late and roughly. When one is about to
+// be over its target, the filler beside it that strains it most, by what has been learnt of their images, is
+// slowed, by about as much as is too much. What fillers that came or changed their pace since the last figure
+// will add is counted in. Fillers are let go again as far as all tails stay under their targets. A filler
+// that has been slowed for a while is evicted with its checkpoint, to run where it disturbs less. Answers the
+// load of serving tasks whose own traffic swings while batch work fills what they leave.
 #include "jobs/process/cell_model.h"
 
 #include <algorithm>
-#include <cmath>
 
 namespace camphorwell {
 
 namespace {
 
     constexpr ms sampleMs = 500; // The period of the workers' figures.
-    constexpr double slowAt = 0.95; // Of the target: over it fillers are slowed.
-    constexpr double slowTo = 0.75; // Fillers are slowed until the tail is expected there.
-    constexpr double raiseTo = 0.85; // Fillers are let go as far as the tail is expected below.
+    constexpr ms figureLagMs = 900; // A change of fillers shows in the figures after so long.
+    constexpr double slowWithin = 0.03; // Strain below the limit at which fillers are slowed.
+    constexpr double slowTo = 0.10; // Strain below the limit to which they are slowed.
+    constexpr double raiseTo = 0.08; // Strain below the limit up to which they are let go.
     constexpr ms evictAfterMs = 1500; // At a low pace for so long.
     constexpr int evictPercent = 34; // At or under this a pace is low.
+    constexpr double harmless = 0.02; // Strain by a filler that is not worth slowing it for.
     constexpr int paceStep = 10; // Paces are whole multiples of this.
 
+    double coresOf(const step_spec& spec) { return static_cast<double>(spec.cpuMilli) / 1000; }
+
 } // namespace
 
-// The worst tail / target of the serving tasks there, with `added` cores of a filler more.
-double cell_model::expectedTail(const worker_state& worker, const std::string& filler, double added) const
+// Strain over the limit of the serving task that is worst off, below 0 when all are under their targets. With
+// `added` cores of a filler more, only the serving tasks that it disturbs count.
+double cell_model::excessStrain(const worker_state& worker, const std::string& filler, double added) const
 {
-    double worst = 0;
+    double worst = -1;
     for (const auto& serving : worker.serving) {
-        double press = filler.empty() ? 0 : pressure.perCore(filler, serving.image) * added;
-        worst = std::max(worst, serving.ratio + press);
+        double more = added > 0 ? pressure.perCore(filler, serving.image) * added : 0;
+        if (added > 0 && more < harmless)
+            continue;
+        for (const auto& [image, cores] : worker.unseenFillers)
+            more += pressure.perCore(image, serving.image) * cores;
+        worst = std::max(worst, serving.strain + more - pressure.limit(serving.image));
     }
     return worst;
 }
@@ -39,32 +48,39 @@
 {
     std::vector<interference::neighbour> beside;
     worker.serving.clear();
+    worker.unseenFillers.clear();
+    std::vector<std::pair<const step_spec*, double>> tails;
     for (const placement& each : worker.placed) {
         const step_spec& spec = *each.step->spec;
-        const task_copy* copy = findCopy(each);
-        if (!copy || copy->phase != copy_phase::running)
+        task_copy* copy = findCopy(each);
+        if (!copy || copy->phase == copy_phase::doomed)
             continue;
         if (spec.filler) {
-            double cores = static_cast<double>(copy->load > 0 ? copy->load : spec.cpuMilli) / 1000;
-            beside.push_back({ spec.image, copy->pace == 0 ? 0 : cores });
+            if (copy->changedAt + figureLagMs <= now)
+                copy->figurePace = copy->pace;
+            if (copy->figurePace > 0)
+                beside.push_back({ spec.image, coresOf(spec) * copy->figurePace / 100 });
+            if (copy->figurePace != copy->pace)
+                worker.unseenFillers[spec.image] += coresOf(spec) * (copy->pace - copy->figurePace) / 100;
         } else if (spec.tailTargetMs > 0 && copy->load > 0) {
-            worker.serving.push_back(
-                { spec.image, static_cast<double>(copy->load) / static_cast<double>(spec.tailTargetMs) });
+            tails.emplace_back(
+                &spec, static_cast<double>(copy->load) / static_cast<double>(spec.tailTargetMs));
         }
     }
-    // Fillers that came or went since the last figure would be blamed or excused for nothing.
-    if (now - worker.fillersChangedAt < sampleMs)
-        return;
-    for (const auto& each : worker.serving)
-        pressure.observe(each.image, each.ratio, beside);
+    bool settled = now - worker.fillersChangedAt >= sampleMs;
+    for (const auto& [spec, ratio] : tails) {
+        // Fillers that came or went since the last figure would be blamed or excused for nothing.
+        if (settled)
+            pressure.observe(spec->image, ratio, beside);
+        worker.serving.push_back({ spec->image, pressure.strain(spec->image, ratio) });
+    }
 }
 
 void cell_model::setPace(worker_state& worker, const placement& at, task_copy& copy, int percent)
 {
-    if (percent == copy.pace)
-        return;
+    worker.unseenFillers[at.step->spec->image] += coresOf(*at.step->spec) * (percent - copy.pace) / 100;
     copy.pace = percent;
-    copy.pacedAt = now;
+    copy.changedAt = now;
     worker.fillersChangedAt = now;
     if (percent > evictPercent)
         copy.slowSince = 0;
@@ -75,56 +91,57 @@
             .add("task", at.step->ref(at.index).str())
             .add("worker", worker.info.id)
             .add("percent", percent)
-            .add("tail_percent", static_cast<int64_t>(100 * expectedTail(worker, {}, 0))));
+            .add("excess_percent", static_cast<int64_t>(100 * excessStrain(worker, {}, 0))));
 }
 
-// Slows the filler that presses most on the serving tasks that are over.
+// Slows the fillers that strain most until the worst serving task is expected under its limit.
 void cell_model::slowFillers(worker_state& worker)
 {
-    const placement* worst = nullptr;
-    task_copy* worstCopy = nullptr;
-    double most = 0;
-    double tooMuch = 0;
-    for (const placement& each : worker.placed) {
-        task_copy* copy = each.step->spec->filler ? findCopy(each) : nullptr;
-        if (!copy || copy->phase != copy_phase::running || copy->pace == 0)
-            continue;
-        double cores = static_cast<double>(each.step->spec->cpuMilli) / 1000 * copy->pace / 100;
-        for (const auto& serving : worker.serving) {
-            if (serving.ratio <= slowAt)
+    for (size_t tries = 0; tries < worker.placed.size() && excessStrain(worker, {}, 0) > -slowWithin;
+         tries++) {
+        const placement* worst = nullptr;
+        task_copy* worstCopy = nullptr;
+        double most = harmless;
+        for (const placement& each : worker.placed) {
+            task_copy* copy = each.step->spec->filler ? findCopy(each) : nullptr;
+            if (!copy || copy->phase != copy_phase::running || copy->pace == 0)
                 continue;
-            double press = pressure.perCore(each.step->spec->image, serving.image) * cores;
-            if (press > most) {
-                most = press;
-                tooMuch = serving.ratio - slowTo;
-                worst = &each;
-                worstCopy = copy;
+            for (const auto& serving : worker.serving) {
+                double press = pressure.perCore(each.step->spec->image, serving.image)
+                    * coresOf(*each.step->spec) * copy->pace / 100;
+                bool over = serving.strain > pressure.limit(serving.image) - slowTo;
+                if (over && press > most) {
+                    most = press;
+                    worst = &each;
+                    worstCopy = copy;
+                }
             }
         }
+        if (!worst)
+            return;
+        double tooMuch = excessStrain(worker, {}, 0) + slowTo;
+        int percent
+            = static_cast<int>(worstCopy->pace * std::max(0.0, 1 - tooMuch / most)) / paceStep * paceStep;
+        setPace(worker, *worst, *worstCopy, std::max(0, std::min(percent, worstCopy->pace - paceStep)));
     }
-    if (!worst)
-        return;
-    double kept = std::max(0.0, 1 - tooMuch / most);
-    int percent = static_cast<int>(worstCopy->pace * kept) / paceStep * paceStep;
-    setPace(worker, *worst, *worstCopy, std::min(percent, worstCopy->pace - paceStep));
 }
 
 void cell_model::raiseFillers(worker_state& worker)
 {
     for (const placement& each : worker.placed) {
         task_copy* copy = each.step->spec->filler ? findCopy(each) : nullptr;
-        if (!copy || copy->phase != copy_phase::running || copy->pace >= 100)
+        if (!copy || copy->phase != copy_phase::running || copy->pace >= 100
+            || now - copy->changedAt < sampleMs)
             continue;
-        double cores = static_cast<double>(each.step->spec->cpuMilli) / 1000;
         int percent = 100;
         while (percent > copy->pace
-            && expectedTail(worker, each.step->spec->image, cores * (percent - copy->pace) / 100) > raiseTo)
+            && excessStrain(
+                   worker, each.step->spec->image, coresOf(*each.step->spec) * (percent - copy->pace) / 100)
+                > -raiseTo)
             percent -= paceStep;
         if (percent > copy->pace) {
             setPace(worker, each, *copy, percent);
-            return;
-        }
-        if (copy->slowSince != 0 && now - copy->slowSince > evictAfterMs) {
+        } else if (copy->slowSince != 0 && now - copy->slowSince > evictAfterMs) {
             doom(*each.step, each.index, *copy, "disturbs_serving");
             return;
         }
@@ -142,7 +159,7 @@
         sample(worker);
         if (worker.fillerCpu == 0)
             continue;
-        if (expectedTail(worker, {}, 0) > slowAt)
+        if (excessStrain(worker, {}, 0) > -slowWithin)
             slowFillers(worker);
         else
             raiseFillers(worker);
--- a/src/jobs/process/cell_workers.cpp
+++ b/src/jobs/process/cell_workers.cpp
@@ -363,8 +363,11 @@
     worker.placed.push_back({ &step, index, run });
     task.lastRun = std::max(task.lastRun, run);
     step.job->started = true;
+    if (spec.filler && worker.servingCpu > 0)
+        worker.unseenFillers[spec.image] += static_cast<double>(spec.cpuMilli) / 1000;
     task_copy copy;
     copy.run = run;
+    copy.changedAt = now;
     copy.on = &worker;
     task.copies.push_back(std::move(copy));
     return task.copies.back();
--- a/src/jobs/process/interference.cpp
+++ b/src/jobs/process/interference.cpp
@@ -6,51 +6,107 @@
 namespace camphorwell {
 
 namespace {
-    constexpr double defaultPerCore = 0.03;
-    constexpr double defaultBase = 0.45;
-    constexpr double learningRate = 0.35;
-    constexpr double baseRate = 0.05;
-    constexpr double fillerRate = 0.15;
-    constexpr double greatestRatio = 6; // A tail beyond it says nothing more.
-    constexpr int seenToTrust = 2;
+    constexpr double defaultLoad = 0.45;
+    constexpr double defaultPerCore = 0.005;
+    constexpr double defaultLeast = 0.25; // Tail / target of an idle serving task.
+    constexpr double greatestStrain = 0.98; // A tail beyond it says nothing more.
+    // Standard deviations: of one observation, mostly the swing of the own load, and of the priors.
+    constexpr double noise = 0.17;
+    constexpr double loadSpread = 0.10;
+    constexpr double perCoreSpread = 0.04;
+    constexpr double forgetting = 0.9995; // Of older observations, at each new one.
+    constexpr size_t mostUnknowns = 25; // Further filler images are taken for harmless.
 } // namespace
 
-double interference::perCore(const std::string& filler, const std::string& serving) const
+size_t interference::system::indexOf(const std::string& filler)
+{
+    auto found = std::find(fillers.begin(), fillers.end(), filler);
+    if (found != fillers.end())
+        return static_cast<size_t>(found - fillers.begin()) + 1;
+    size_t old = values.size();
+    if (old >= mostUnknowns)
+        return 0;
+    std::vector<double> grown((old + 1) * (old + 1));
+    for (size_t row = 0; row < old; row++)
+        std::copy_n(covariance.begin() + static_cast<long>(row * old), old,
+            grown.begin() + static_cast<long>(row * (old + 1)));
+    grown.back() = perCoreSpread * perCoreSpread / (noise * noise);
+    covariance.swap(grown);
+    fillers.push_back(filler);
+    values.push_back(defaultPerCore);
+    return old;
+}
+
+double interference::limit(const std::string& image) const
+{
+    auto found = m_systems.find(image);
+    return 1 - (found == m_systems.end() ? defaultLeast : found->second.least);
+}
+
+double interference::ownLoad(const std::string& serving) const
+{
+    auto found = m_systems.find(serving);
+    return found == m_systems.end() ? defaultLoad : found->second.values.front();
+}
+
+double interference::strain(const std::string& image, double ratio) const
 {
-    auto pair = m_pairs.find({ filler, serving });
-    if (pair != m_pairs.end() && pair->second.seen >= seenToTrust)
-        return pair->second.perCore;
-    auto mean = m_fillers.find(filler);
-    return mean != m_fillers.end() ? mean->second.perCore : defaultPerCore;
+    return std::clamp(1 - (1 - limit(image)) / std::max(ratio, 0.01), 0.0, greatestStrain);
 }
 
-double interference::base(const std::string& serving) const
+double interference::perCore(const std::string& filler, const std::string& serving) const
 {
-    auto found = m_bases.find(serving);
-    return found == m_bases.end() ? defaultBase : found->second;
+    auto found = m_systems.find(serving);
+    if (found == m_systems.end())
+        return defaultPerCore;
+    const auto& fillers = found->second.fillers;
+    auto at = std::find(fillers.begin(), fillers.end(), filler);
+    if (at == fillers.end())
+        return defaultPerCore;
+    return std::max(0.0, found->second.values[static_cast<size_t>(at - fillers.begin()) + 1]);
 }
 
 void interference::observe(const std::string& image, double ratio, const std::vector<neighbour>& beside)
 {
-    ratio = std::min(ratio, greatestRatio);
-    double expected = base(image);
-    double energy = 0;
-    for (const auto& each : beside) {
-        expected += perCore(each.image, image) * each.cores;
-        energy += each.cores * each.cores;
+    auto [at, fresh] = m_systems.try_emplace(image);
+    system& known = at->second;
+    if (fresh) {
+        known.least = defaultLeast;
+        known.values = { defaultLoad };
+        known.covariance = { loadSpread * loadSpread / (noise * noise) };
+    }
+    known.least = std::min(known.least, ratio);
+    std::vector<size_t> present(beside.size());
+    std::transform(beside.begin(), beside.end(), present.begin(),
+        [&](const neighbour& each) { return known.indexOf(each.image); });
+    size_t n = known.values.size();
+    std::vector<double> x(n);
+    x[0] = 1;
+    for (size_t i = 0; i < beside.size(); i++) {
+        if (present[i] > 0)
+            x[present[i]] += beside[i].cores;
     }
-    double error = ratio - expected;
-    if (energy <= 0) {
-        m_bases[image] = base(image) + baseRate * error;
+    double seen = strain(image, ratio);
+    double expected = 0;
+    for (size_t i = 0; i < n; i++)
+        expected += x[i] * known.values[i];
+    // Beyond the greatest strain any sum explains the tail.
+    if (seen >= greatestStrain && expected > seen)
         return;
+    std::vector<double> gain(n);
+    double scale = forgetting;
+    for (size_t row = 0; row < n; row++) {
+        for (size_t column = 0; column < n; column++)
+            gain[row] += known.covariance[row * n + column] * x[column];
+        scale += x[row] * gain[row];
     }
-    for (const auto& each : beside) {
-        double moved = std::max(0.0, perCore(each.image, image) + learningRate * error * each.cores / energy);
-        pair_figure& pair = m_pairs[{ each.image, image }];
-        pair.perCore = moved;
-        pair.seen++;
-        pair_figure& filler = m_fillers[each.image];
-        filler.perCore = filler.seen++ == 0 ? moved : filler.perCore + fillerRate * (moved - filler.perCore);
+    double error = seen - expected;
+    for (size_t row = 0; row < n; row++)
+        known.values[row] += gain[row] / scale * error;
+    for (size_t row = 0; row < n; row++) {
+        for (size_t column = 0; column < n; column++)
+            known.covariance[row * n + column]
+                = (known.covariance[row * n + column] - gain[row] * gain[column] / scale) / forgetting;
     }
 }
 
--- a/src/jobs/process/interference.h
+++ b/src/jobs/process/interference.h
@@ -1,10 +1,11 @@
-// How much a filler of one image raises the tail of a serving task of another, learnt from the workers' rough
-// figures. The figure for a pair is the rise of tail / target for each core that the filler uses.
+// How much a filler of one image strains a serving task of another, learnt from the workers' rough figures.
 //
-// The tail of a serving task is taken as a base of its own load plus the sum of what the fillers beside it
-// add. Each observation moves the figures of the pairs that were present towards the tail that was seen, in
-// proportion to the cores used (normalised least mean squares). A pair that was never seen takes the mean of
-// its filler's image, and an image that was never seen a small default, so that it is tried.
+// The tail of a serving task behaves as that of a queue: tail = least / (1 - strain), where the strain is the
+// task's own load plus what the fillers beside it add. So tails are turned into strains, which add up: a
+// strain is the image's mean load plus, for each filler image, its cores in use times the figure of the pair.
+// The figures are learnt by recursive least squares, one small system for each serving image, from a prior
+// that takes every pair for harmless. Answers the load of a few pairs that disturb each other badly among
+// many that do not, in figures that are dominated by the swing of the serving task's own load.
 #pragma once
 
 #include <map>
@@ -22,19 +23,23 @@
 
     // `ratio` is tail / target of a serving task of `image`.
     void observe(const std::string& image, double ratio, const std::vector<neighbour>& beside);
-    // Rise of tail / target of a serving task of `serving` for each core of `filler`.
+    double strain(const std::string& image, double ratio) const;
+    // The strain at which the tail is at its target.
+    double limit(const std::string& image) const;
+    // Strain on a serving task of `serving` for each core of `filler`; at least 0.
     double perCore(const std::string& filler, const std::string& serving) const;
-    // Tail / target of a serving task with nothing beside it.
-    double base(const std::string& serving) const;
+    // Mean strain of a serving task by its own load.
+    double ownLoad(const std::string& serving) const;
 
 private:
-    struct pair_figure {
-        double perCore = 0;
-        int seen = 0;
+    struct system {
+        double least = 0; // Least tail / target seen.
+        std::vector<std::string> fillers; // Names of all unknowns but the first, which is the own load.
+        std::vector<double> values;
+        std::vector<double> covariance; // Square, by rows.
+        size_t indexOf(const std::string& filler);
     };
-    std::map<std::pair<std::string, std::string>, pair_figure> m_pairs;
-    std::map<std::string, pair_figure> m_fillers;
-    std::map<std::string, double> m_bases;
+    std::map<std::string, system> m_systems; // By serving image.
 };
 
 } // namespace camphorwell
