--- a/src/jobs/process/cell.h
+++ b/src/jobs/process/cell.h
@@ -19,6 +19,7 @@
     ms priorGrantMs = 6000; // How long an earlier owner may have granted leases after its last proof.
     ms stopMs = 200; // A stop takes at most so long.
     ms lookWaitMs = 1000; // A look at a worker waits so long for an end.
+    ms sharedLookWaitMs = 400; // The same where fillers run beside serving tasks.
     ms keepMs = 120'000; // A finished job is known for so long.
     ms paceMs = 100; // A change of pace is in effect after so long.
     int advisedAtOnce = 30; // Workers named in one call for advice.
--- a/src/jobs/process/cell_model.h
+++ b/src/jobs/process/cell_model.h
@@ -247,6 +247,8 @@
     void sample(worker_state&);
     double excessStrain(const worker_state&, const std::string& filler, double added) const;
     void setPace(worker_state&, const placement&, task_copy&, int percent);
+    int firstPace(const worker_state&, const step_spec&) const;
+    void slowStart(worker_state&, const placement&, task_copy&);
     void slowFillers(worker_state&);
     void raiseFillers(worker_state&);
 };
--- a/src/jobs/process/cell_sharing.cpp
+++ b/src/jobs/process/cell_sharing.cpp
@@ -21,7 +21,11 @@
     constexpr double raiseTo = 0.08; // Strain below the limit up to which they are let go.
     constexpr ms evictAfterMs = 1500; // At a low pace for so long.
     constexpr int evictPercent = 34; // At or under this a pace is low.
+    constexpr double burst = 2.0; // What a filler strains at times, against its mean.
     constexpr double harmless = 0.02; // Strain by a filler that is not worth slowing it for.
+    constexpr int raiseStep = 20; // Percent at a time for a filler that disturbs.
+    constexpr int firstPaceMost = 60; // A filler that disturbs starts at no more.
+    constexpr int firstPaceLeast = 20; // A filler starts at no less.
     constexpr int paceStep = 10; // Paces are whole multiples of this.
 
     double coresOf(const step_spec& spec) { return static_cast<double>(spec.cpuMilli) / 1000; }
@@ -34,7 +38,7 @@
 {
     double worst = -1;
     for (const auto& serving : worker.serving) {
-        double more = added > 0 ? pressure.perCore(filler, serving.image) * added : 0;
+        double more = added > 0 ? burst * pressure.perCore(filler, serving.image) * added : 0;
         if (added > 0 && more < harmless)
             continue;
         for (const auto& [image, cores] : worker.unseenFillers)
@@ -94,6 +98,30 @@
             .add("excess_percent", static_cast<int64_t>(100 * excessStrain(worker, {}, 0))));
 }
 
+// The pace at which a filler may start: one that disturbs the serving tasks there begins slowly.
+int cell_model::firstPace(const worker_state& worker, const step_spec& spec) const
+{
+    if (excessStrain(worker, spec.image, coresOf(spec)) == -1)
+        return 100;
+    int percent = firstPaceMost;
+    while (percent > firstPaceLeast
+        && excessStrain(worker, spec.image, coresOf(spec) * percent / 100) > -raiseTo)
+        percent -= paceStep;
+    return percent;
+}
+
+void cell_model::slowStart(worker_state& worker, const placement& at, task_copy& copy)
+{
+    const step_spec& spec = *at.step->spec;
+    if (!spec.filler || worker.servingCpu == 0)
+        return;
+    worker.unseenFillers[spec.image] -= coresOf(spec);
+    int percent = firstPace(worker, spec);
+    worker.unseenFillers[spec.image] += coresOf(spec);
+    if (percent < copy.pace)
+        setPace(worker, at, copy, percent);
+}
+
 // Slows the fillers that strain most until the worst serving task is expected under its limit.
 void cell_model::slowFillers(worker_state& worker)
 {
@@ -133,7 +161,9 @@
         if (!copy || copy->phase != copy_phase::running || copy->pace >= 100
             || now - copy->changedAt < sampleMs)
             continue;
-        int percent = 100;
+        // One that disturbs is let go step by step, since what it strains changes within seconds.
+        bool disturbs = excessStrain(worker, each.step->spec->image, coresOf(*each.step->spec)) > -1;
+        int percent = disturbs ? std::min(100, copy->pace + raiseStep) : 100;
         while (percent > copy->pace
             && excessStrain(
                    worker, each.step->spec->image, coresOf(*each.step->spec) * (percent - copy->pace) / 100)
--- a/src/jobs/process/cell_workers.cpp
+++ b/src/jobs/process/cell_workers.cpp
@@ -127,7 +127,8 @@
         }
         look_action look { id, worker.acknowledged, std::nullopt, 0 };
         if (worker.adopted) {
-            look.waitMs = settings.lookWaitMs;
+            bool shared = worker.servingCpu > 0 && worker.fillerCpu > 0;
+            look.waitMs = shared ? settings.sharedLookWaitMs : settings.lookWaitMs;
             if (mayGrant) {
                 look.leaseUntilWorkerMs = worker.workerNow(now) + settings.leaseMs;
                 worker.leaseUntilWorkerMs = std::max(worker.leaseUntilWorkerMs, *look.leaseUntilWorkerMs);
@@ -440,6 +441,7 @@
         if (copy->phase == copy_phase::ordered) {
             copy->phase = copy_phase::running;
             copy->percentAt = now;
+            m.slowStart(worker, { step, start.task.index, start.run }, *copy);
         }
         return;
     }
--- a/src/scheduler/process/cell_host_state.h
+++ b/src/scheduler/process/cell_host_state.h
@@ -60,6 +60,7 @@
 
     // cell_host_work.cpp: running it
     void pump();
+    void performActions();
     void schedulePump();
     void perform(const action&);
     void appendProgress(std::shared_ptr<platform::append_request>, uint64_t current);
--- a/src/scheduler/process/cell_host_work.cpp
+++ b/src/scheduler/process/cell_host_work.cpp
@@ -18,11 +18,7 @@
 {
     if (!owned || !begun)
         return;
-    auto performAll = [this] {
-        for (const action& each : owned->takeActions())
-            perform(each);
-    };
-    performAll();
+    performActions();
     if (auto batch = owned->takeWrite(bootNow())) {
         auto request = std::make_shared<platform::append_request>();
         request->topic = progressTopic;
@@ -31,7 +27,13 @@
             request->records.push_back(platform::keyedRecord(each.job, each.bytes));
         appendProgress(request, generation);
     }
-    performAll();
+    performActions();
+}
+
+void cell_host::state::performActions()
+{
+    for (const action& each : owned->takeActions())
+        perform(each);
 }
 
 // Runs the pump after the current callback, once for everything that happened meanwhile.
@@ -98,6 +100,8 @@
                     self.owned->onStarted(order, outcome, bootNow());
                     if (outcome != order_outcome::done)
                         self.schedulePump();
+                    else
+                        self.performActions();
                 });
         }
         void operator()(const stop_action& order) const
