--- a/src/jobs/process/cell_model.h
+++ b/src/jobs/process/cell_model.h
@@ -129,6 +129,8 @@
     std::vector<serving_figure> serving; // As of the last sample.
     std::map<std::string, double> unseenFillers; // Cores, by image, that the sample does not show yet.
     ms sampledAt = 0;
+    ms overSince = 0; // Since when a serving task is over its target; 0: none is.
+    double suitedShare = 0; // Of the demand of fillers, the part that would disturb nothing there.
     ms fillersChangedAt = 0;
 
     bool looking = false;
@@ -186,6 +188,7 @@
     bool placeNeeded = false;
     ms beganAt = 0;
     ms now = 0;
+    ms weighedAt = 0;
     int64_t unixOffset = 0; // Time of day less `now`.
     uint64_t nextSequence = 0;
 
@@ -249,6 +252,8 @@
     void setPace(worker_state&, const placement&, task_copy&, int percent);
     int firstPace(const worker_state&, const step_spec&) const;
     void slowStart(worker_state&, const placement&, task_copy&);
+    void pauseFillers(worker_state&);
+    void weighWorkers();
     void slowFillers(worker_state&);
     void raiseFillers(worker_state&);
 };
--- a/src/jobs/process/cell_placing.cpp
+++ b/src/jobs/process/cell_placing.cpp
@@ -23,6 +23,7 @@
     constexpr double strainMargin = 0.10; // A filler waits for a worker where this much strain is left.
     constexpr double strainCalm = 0.35; // With more left, strain does not count in the choice.
     constexpr double strainWeight = 60'000; // Thousandths of a core for the whole of a strain.
+    constexpr double suitedWeight = 25'000; // Thousandths of a core for a worker that suits every filler.
     constexpr ms patienceMs
         = 1500; // After so long a filler goes where it disturbs least, and is slowed there.
     constexpr ms adviceAgainMs = 500;
@@ -115,7 +116,8 @@
         auto room = static_cast<double>(worker.room().cpuMilli);
         double score = -room;
         if (spec.filler)
-            score = static_cast<double>(left) - strainWeight * std::max(0.0, excess + strainCalm);
+            score = static_cast<double>(left) - strainWeight * std::max(0.0, excess + strainCalm)
+                - suitedWeight * worker.suitedShare;
         if (spec.lasting)
             score = -room - 1e6 * copiesOn(step, worker) - 1e5 * strangersOn(step, worker);
         if (!spec.nearRack.empty() && spec.nearRack != worker.info.rack)
@@ -198,6 +200,9 @@
             }
             task.waiting = false;
             uint32_t run = task.lastRun + 1;
+            double strained
+                = excessStrain(*worker, step.spec->image, static_cast<double>(step.spec->cpuMilli) / 1000);
+            auto excess = step.spec->filler ? static_cast<int64_t>(100 * strained) : 0;
             task_copy& copy = place(step, index, *worker, run);
             if (auto found = step.tickets.find(worker->info.id); found != step.tickets.end())
                 copy.ticket = found->second.value;
@@ -208,7 +213,10 @@
                     .add("run", run)
                     .add("worker", worker->info.id)
                     .add("room_left", worker->room().cpuMilli)
-                    .add("look_age_ms", now - worker->answeredAt));
+                    .add("look_age_ms", now - worker->answeredAt)
+                    .add("waited_ms", now - task.waitingSince)
+                    .add("image", step.spec->image)
+                    .add("excess_percent", excess));
         }
         placedAll = !full;
         step.waiting.swap(left);
--- a/src/jobs/process/cell_sharing.cpp
+++ b/src/jobs/process/cell_sharing.cpp
@@ -21,6 +21,9 @@
     constexpr double raiseTo = 0.08; // Strain below the limit up to which they are let go.
     constexpr ms evictAfterMs = 1500; // At a low pace for so long.
     constexpr int evictPercent = 34; // At or under this a pace is low.
+    constexpr ms pauseAfterMs = 1400; // A serving task over its target for so long stops all fillers there.
+    constexpr ms weighEveryMs = 500;
+    constexpr double harmlessPerCore = 0.02; // Strain of a core below which a filler suits a serving task.
     constexpr double burst = 2.0; // What a filler strains at times, against its mean.
     constexpr double harmless = 0.02; // Strain by a filler that is not worth slowing it for.
     constexpr int raiseStep = 20; // Percent at a time for a filler that disturbs.
@@ -122,6 +125,49 @@
         setPace(worker, at, copy, percent);
 }
 
+// The last resort, before a serving task has been over its target for long: whatever fills beside it stands
+// still until the figures tell who is to blame.
+void cell_model::pauseFillers(worker_state& worker)
+{
+    for (const placement& each : worker.placed) {
+        task_copy* copy = each.step->spec->filler ? findCopy(each) : nullptr;
+        if (copy && copy->phase == copy_phase::running && copy->pace > 0)
+            setPace(worker, each, *copy, 0);
+    }
+}
+
+// How much of what wants to fill could run on each worker undisturbing. Workers that suit many are kept for
+// those that suit few others.
+void cell_model::weighWorkers()
+{
+    if (now - weighedAt < weighEveryMs)
+        return;
+    weighedAt = now;
+    std::map<std::string, double> demand;
+    double total = 0;
+    auto add = [&](const step_spec& spec, double tasks) {
+        if (!spec.filler)
+            return;
+        demand[spec.image] += coresOf(spec) * tasks;
+        total += coresOf(spec) * tasks;
+    };
+    for (const auto& [order, step] : ready)
+        add(*step->spec, static_cast<double>(step->waiting.size()));
+    for (const auto& [id, worker] : workers) {
+        for (const placement& each : worker->placed)
+            add(*each.step->spec, 1);
+    }
+    for (auto& [id, worker] : workers) {
+        double suits = 0;
+        for (const auto& [image, cores] : demand) {
+            bool disturbs = std::any_of(worker->serving.begin(), worker->serving.end(),
+                [&](const auto& each) { return pressure.perCore(image, each.image) > harmlessPerCore; });
+            suits += disturbs ? 0 : cores;
+        }
+        worker->suitedShare = total > 0 ? suits / total : 0;
+    }
+}
+
 // Slows the fillers that strain most until the worst serving task is expected under its limit.
 void cell_model::slowFillers(worker_state& worker)
 {
@@ -180,6 +226,7 @@
 
 void cell_model::share()
 {
+    weighWorkers();
     for (auto& [id, held] : workers) {
         worker_state& worker = *held;
         if (!worker.adopted || worker.servingCpu == 0 || now - worker.sampledAt < sampleMs
@@ -189,7 +236,14 @@
         sample(worker);
         if (worker.fillerCpu == 0)
             continue;
-        if (excessStrain(worker, {}, 0) > -slowWithin)
+        double excess = excessStrain(worker, {}, 0);
+        if (excess <= 0)
+            worker.overSince = 0;
+        else if (worker.overSince == 0)
+            worker.overSince = now;
+        if (worker.overSince != 0 && now - worker.overSince > pauseAfterMs)
+            pauseFillers(worker);
+        else if (excess > -slowWithin)
             slowFillers(worker);
         else
             raiseFillers(worker);
