--- a/src/jobs/process/cell_model.h
+++ b/src/jobs/process/cell_model.h
@@ -252,6 +252,7 @@
     void setPace(worker_state&, const placement&, task_copy&, int percent);
     int firstPace(const worker_state&, const step_spec&) const;
     void slowStart(worker_state&, const placement&, task_copy&);
+    bool overByFillers(const worker_state&) const;
     void pauseFillers(worker_state&);
     void weighWorkers();
     void slowFillers(worker_state&);
--- a/src/jobs/process/cell_placing.cpp
+++ b/src/jobs/process/cell_placing.cpp
@@ -105,7 +105,8 @@
         int64_t left = leftForFillers(worker);
         double excess = -1;
         if (spec.filler) {
-            if (left < static_cast<int64_t>(static_cast<double>(spec.cpuMilli) * fillerRoom))
+            if (left < static_cast<int64_t>(static_cast<double>(spec.cpuMilli) * fillerRoom)
+                || overByFillers(worker))
                 continue;
             excess = excessStrain(worker, spec.image, static_cast<double>(spec.cpuMilli) / 1000);
             if (excess > -strainMargin && now - task.waitingSince < patienceMs)
--- a/src/jobs/process/cell_sharing.cpp
+++ b/src/jobs/process/cell_sharing.cpp
@@ -22,6 +22,7 @@
     constexpr ms evictAfterMs = 1500; // At a low pace for so long.
     constexpr int evictPercent = 34; // At or under this a pace is low.
     constexpr ms pauseAfterMs = 1400; // A serving task over its target for so long stops all fillers there.
+    constexpr ms clearedMs = 1500; // Without fillers for so long, a tail is a serving task's own.
     constexpr ms weighEveryMs = 500;
     constexpr double harmlessPerCore = 0.02; // Strain of a core below which a filler suits a serving task.
     constexpr double burst = 2.0; // What a filler strains at times, against its mean.
@@ -224,6 +225,12 @@
     }
 }
 
+// Whether a serving task there is over its target while fillers may be the cause.
+bool cell_model::overByFillers(const worker_state& worker) const
+{
+    return worker.overSince != 0 && (worker.fillerCpu > 0 || now - worker.fillersChangedAt < clearedMs);
+}
+
 void cell_model::share()
 {
     weighWorkers();
@@ -234,13 +241,13 @@
             continue;
         worker.sampledAt = now;
         sample(worker);
-        if (worker.fillerCpu == 0)
-            continue;
         double excess = excessStrain(worker, {}, 0);
         if (excess <= 0)
             worker.overSince = 0;
         else if (worker.overSince == 0)
             worker.overSince = now;
+        if (worker.fillerCpu == 0)
+            continue;
         if (worker.overSince != 0 && now - worker.overSince > pauseAfterMs)
             pauseFillers(worker);
         else if (excess > -slowWithin)
--- a/src/jobs/process/cell_workers.cpp
+++ b/src/jobs/process/cell_workers.cpp
@@ -129,7 +129,8 @@
         if (worker.adopted) {
             bool shared = worker.servingCpu > 0 && worker.fillerCpu > 0;
             look.waitMs = shared ? settings.sharedLookWaitMs : settings.lookWaitMs;
-            if (mayGrant) {
+            // A worker that does not answer gets no longer leases, so that its last one is known to run out.
+            if (mayGrant && worker.failedLooks == 0) {
                 look.leaseUntilWorkerMs = worker.workerNow(now) + settings.leaseMs;
                 worker.leaseUntilWorkerMs = std::max(worker.leaseUntilWorkerMs, *look.leaseUntilWorkerMs);
             }
@@ -154,7 +155,7 @@
     log(log_line("worker_lost")
             .add("worker", worker.info.id)
             .add("why", why)
-            .add("silent_ms", now - worker.answeredAt)
+            .add("silent_ms", worker.answeredAt == 0 ? -1 : now - worker.answeredAt)
             .add("tasks", static_cast<int64_t>(worker.placed.size())));
     worker.adopted = false;
     worker.processed = worker.acknowledged = 0;
--- a/src/scheduler/process/event_log.cpp
+++ b/src/scheduler/process/event_log.cpp
@@ -46,12 +46,12 @@
 
 void event_log::writeAlways(const log_line& line)
 {
-    if (m_dropped > 0) {
-        int64_t dropped = m_dropped;
-        m_dropped = 0;
-        put(log_line("lines_dropped").add("count", dropped).str());
-    }
-    put("t=" + std::to_string(unixNow()) + " " + line.str() + "\n");
+    std::string text;
+    std::string time = "t=" + std::to_string(unixNow()) + " ";
+    if (m_dropped > 0)
+        text = time + log_line("lines_dropped").add("count", m_dropped).str() + "\n";
+    m_dropped = 0;
+    put(text + time + line.str() + "\n");
 }
 
 void event_log::put(const std::string& line)
