Randomised worlds of a cell with an observer and ten deliberate faults; lives of workers

Copies now wait for the report of the new life, tokens rise with each life, and news of earlier lives are ignored.

--- a/src/jobs/jobs.h
+++ b/src/jobs/jobs.h
@@ -169,17 +169,20 @@
     std::string checkpoint;
     std::string ticket;
     ms leaseUntilWorkerMs = 0;
+    uint32_t life = 0; // Of the worker, counted by this owner; raises the token within its own.
 };
 struct stop_action {
     worker_id worker;
     task_ref task;
     uint32_t run = 0;
+    uint32_t life = 0;
 };
 struct pace_action {
     worker_id worker;
     task_ref task;
     uint32_t run = 0;
     int percent = 100;
+    uint32_t life = 0;
 };
 // Renews the lease, acknowledges ends and asks for a report that waits for the next end.
 struct look_action {
@@ -187,6 +190,7 @@
     uint64_t acknowledged = 0;
     std::optional<ms> leaseUntilWorkerMs;
     ms waitMs = 0;
+    uint32_t life = 0;
 };
 struct advice_action {
     task_ref step; // `index` has no meaning.
@@ -208,6 +212,10 @@
     std::string bytes; // Empty: drop the job.
 };
 
+// The token of an order: by the owner's own first, then by the lives of the worker that it has seen. An order
+// to an earlier life that is carried out late is refused by a later one that has been looked at.
+uint64_t orderToken(uint64_t ownerToken, uint32_t life);
+
 // Something the scheduler decided or learnt, for the log.
 using decision_log = std::function<void(const log_line&)>;
 
--- a/src/jobs/process/cell.cpp
+++ b/src/jobs/process/cell.cpp
@@ -204,7 +204,7 @@
         held = std::make_unique<job_run>();
         held->id = id;
     }
-    if (held->over())
+    if (held->over() || has(cell_fault::deaf_to_cancels))
         return;
     log(log_line("job_cancelled").add("id", id));
     finishJob(*held, job_state::cancelled);
@@ -237,7 +237,7 @@
     const job_spec& spec = job.record.spec;
     while (!job.over() && job.nextOccurrence < spec.repeatCount) {
         int64_t due = spec.startAtUnixMs + job.nextOccurrence * spec.intervalMs;
-        if (now + unixOffset < due + occurrenceSlackMs)
+        if (now + unixOffset < due + occurrenceSlackMs - (has(cell_fault::early_occurrences) ? 1000 : 0))
             return;
         touch(job);
         openReadySteps(openOccurrence(job, job.nextOccurrence));
@@ -253,8 +253,9 @@
         if (step.open)
             continue;
         const auto& before = step.spec->dependsOn;
-        step.open = std::all_of(before.begin(), before.end(),
-            [&](int each) { return live.steps[static_cast<size_t>(each)].undone == 0; });
+        step.open = has(cell_fault::ignore_order) || std::all_of(before.begin(), before.end(), [&](int each) {
+            return live.steps[static_cast<size_t>(each)].undone == 0;
+        });
         if (!step.open)
             continue;
         for (int i = 0; i < step.spec->count; i++)
--- a/src/jobs/process/cell.h
+++ b/src/jobs/process/cell.h
@@ -13,6 +13,21 @@
 
 namespace camphorwell {
 
+// Deliberate faults, for the tests that show that the tests would see them.
+enum class cell_fault : uint8_t {
+    none,
+    acknowledge_early, // Ends are acknowledged before their record is durable.
+    start_unrecorded, // Starts do not wait for their record.
+    trust_silence, // Tasks of a worker that does not answer count as gone at once.
+    forget_restored, // What an earlier owner started counts as gone.
+    restart_unanswered, // A start without an answer counts as refused.
+    ignore_order, // Steps open before those they depend on are done.
+    ignore_attempts, // Failed tasks are tried for ever.
+    early_occurrences, // Occurrences start a second before they are due.
+    book_nothing, // Tasks take no room.
+    deaf_to_cancels // Cancels are not taken note of.
+};
+
 struct cell_settings {
     ms leaseMs = 5000; // A worker kills what runs there when it has not heard from the owner for so long.
     ms maxLeaseMs = 6000; // The worker's own bound.
@@ -23,6 +38,7 @@
     ms keepMs = 120'000; // A finished job is known for so long.
     ms paceMs = 100; // A change of pace is in effect after so long.
     int advisedAtOnce = 30; // Workers named in one call for advice.
+    cell_fault fault = cell_fault::none;
     double remoteFactor = 1.5; // Work far from its data takes so many times as long.
 };
 
@@ -57,7 +73,7 @@
     void onStarted(const start_action&, order_outcome, ms now);
     void onStopped(const stop_action&, order_outcome, ms now);
     void onReport(const worker_id&, const worker_report&, ms sentAt, ms now);
-    void onLookFailed(const worker_id&, order_outcome, ms now);
+    void onLookFailed(const look_action&, order_outcome, ms now);
     void onAdvice(const task_ref& step, const std::vector<worker_id>& asked,
         const std::vector<advised_worker>& good, ms now);
     void onAdviceFailed(const task_ref& step, ms now);
--- a/src/jobs/process/cell_model.h
+++ b/src/jobs/process/cell_model.h
@@ -133,6 +133,8 @@
     double suitedShare = 0; // Of the demand of fillers, the part that would disturb nothing there.
     ms fillersChangedAt = 0;
 
+    uint32_t life = 0; // Lives that this owner has seen.
+    ms lifeMetAt = 0;
     bool looking = false;
     ms lookAt = 0;
     ms answeredAt = 0;
@@ -192,6 +194,10 @@
     int64_t unixOffset = 0; // Time of day less `now`.
     uint64_t nextSequence = 0;
 
+    // An order to the worker's present life was refused for its token: somebody else owns the cell.
+    void noteFenced(const worker_state& worker, uint32_t life) { fenced |= life == worker.life; }
+    bool has(cell_fault fault) const { return settings.fault == fault; }
+
     // cell.cpp
     const queue_policy* policyOf(const job_run&) const;
     void addJob(const job_id&, const job_record&);
@@ -215,6 +221,7 @@
     void applyProgress(job_run&, std::string_view bytes);
     std::optional<write_batch> takeWrite();
     void onWritten();
+    void startWritten();
     void retire();
 
     // cell_workers.cpp
@@ -226,8 +233,10 @@
     void noteRunning(worker_state&, const running_task&);
     void noteAbsent(worker_state&, ms sentAt);
     void lookAtWorkers();
+    void meetNewLife(worker_state&);
     void loseAll(worker_state&, std::string_view why);
     bool leaseSurelyOver(const worker_state&) const;
+    resources bookingOf(const step_spec&) const;
     task_copy& place(step_run&, int index, worker_state&, uint32_t run);
     void removeCopy(step_run&, int index, worker_state&, uint32_t run);
     // Ends a copy that must not go on; the task is free again once the worker says so.
--- a/src/jobs/process/cell_placing.cpp
+++ b/src/jobs/process/cell_placing.cpp
@@ -95,7 +95,7 @@
 worker_state* cell_model::chooseWorker(step_run& step, const task_run& task, const std::string* rack)
 {
     const step_spec& spec = *step.spec;
-    resources need { spec.filler ? 0 : spec.cpuMilli, spec.memoryMb, spec.accelerators, 0 };
+    resources need = bookingOf(spec);
     worker_state* best = nullptr;
     double bestScore = 0;
     for (auto& [id, held] : workers) {
@@ -271,8 +271,7 @@
         return;
     std::vector<std::pair<int64_t, worker_id>> candidates;
     for (const auto& [id, worker] : workers) {
-        resources need { step.spec->filler ? 0 : step.spec->cpuMilli, step.spec->memoryMb,
-            step.spec->accelerators, 0 };
+        resources need = bookingOf(*step.spec);
         if (usable(*worker) && need.fits(worker->room()) && !step.adviceRefused.contains(id))
             candidates.emplace_back(-worker->room().cpuMilli, id);
     }
--- a/src/jobs/process/cell_progress.cpp
+++ b/src/jobs/process/cell_progress.cpp
@@ -102,7 +102,7 @@
                     if (entry.size() > 5)
                         task.checkpoint = entry.at(5);
                     const json& copies = entry.at(4);
-                    for (size_t i = 0; i + 1 < copies.size(); i += 2) {
+                    for (size_t i = 0; i + 1 < copies.size() && !has(cell_fault::forget_restored); i += 2) {
                         task_copy& restored = place(step, index, workerNamed(copies[i + 1]), copies[i]);
                         restored.ordered = true;
                         restored.phase = copy_phase::restored;
@@ -168,6 +168,8 @@
     toDrop.swap(kept);
     writing.swap(planned);
     planned.clear();
+    if (has(cell_fault::start_unrecorded))
+        startWritten();
     writingEnds.clear();
     for (auto& [id, worker] : workers) {
         if (worker->processed != worker->acknowledged)
@@ -195,6 +197,21 @@
     writeUnderWay = false;
     for (auto& [worker, number] : writingEnds)
         worker->acknowledged = std::max(worker->acknowledged, std::min(number, worker->processed));
+    startWritten();
+    for (job_run* job : writingJobs) {
+        // A change after the record was taken makes the job dirty again, and the next append tells of it.
+        if (job->over() && !job->dirty && job->durableState != job->state) {
+            job->durableState = job->state;
+            actions.push_back(forget_job_action { job->id });
+            retiring.push_back(job);
+        }
+    }
+    writingJobs.clear();
+}
+
+// Orders the starts whose records are durable.
+void cell_model::startWritten()
+{
     std::vector<placement> starts;
     starts.swap(writing);
     for (const placement& each : starts) {
@@ -213,19 +230,10 @@
         copy->ordered = true;
         copy->percentAt = now;
         worker.leaseUntilWorkerMs = std::max(worker.leaseUntilWorkerMs, lease);
-        actions.push_back(
-            start_action { worker.info.id, each.step->ref(each.index), each.run, each.step->job->payload,
-                each.step->tasks[static_cast<size_t>(each.index)].checkpoint, copy->ticket, lease });
-    }
-    for (job_run* job : writingJobs) {
-        // A change after the record was taken makes the job dirty again, and the next append tells of it.
-        if (job->over() && !job->dirty && job->durableState != job->state) {
-            job->durableState = job->state;
-            actions.push_back(forget_job_action { job->id });
-            retiring.push_back(job);
-        }
+        actions.push_back(start_action { worker.info.id, each.step->ref(each.index), each.run,
+            each.step->job->payload, each.step->tasks[static_cast<size_t>(each.index)].checkpoint,
+            copy->ticket, lease, worker.life });
     }
-    writingJobs.clear();
 }
 
 // Frees what a finished job held once nothing of it runs.
--- a/src/jobs/process/cell_sharing.cpp
+++ b/src/jobs/process/cell_sharing.cpp
@@ -94,7 +94,7 @@
         copy.slowSince = 0;
     else if (copy.slowSince == 0)
         copy.slowSince = now;
-    actions.push_back(pace_action { worker.info.id, at.step->ref(at.index), at.run, percent });
+    actions.push_back(pace_action { worker.info.id, at.step->ref(at.index), at.run, percent, worker.life });
     log(log_line("filler_paced")
             .add("task", at.step->ref(at.index).str())
             .add("worker", worker.info.id)
--- a/src/jobs/process/cell_workers.cpp
+++ b/src/jobs/process/cell_workers.cpp
@@ -63,10 +63,10 @@
 {
     worker_state& worker = workerNamed(record.id);
     bool wasDraining = worker.info.draining && worker.listed;
-    if (worker.adopted && worker.info.bornUnixMs != 0 && record.bornUnixMs > worker.info.bornUnixMs)
-        loseAll(worker, "new_life");
     if (record.bornUnixMs < worker.info.bornUnixMs)
         return; // News of an earlier life.
+    if (worker.info.bornUnixMs != 0 && record.bornUnixMs > worker.info.bornUnixMs)
+        meetNewLife(worker);
     if (!worker.listed)
         log(log_line("worker_listed").add("worker", record.id).add("service", record.service));
     worker.info = record;
@@ -125,7 +125,7 @@
                 && now - copy->stopSentAt > stopAgainMs)
                 sendStop(*each.step, each.index, *copy);
         }
-        look_action look { id, worker.acknowledged, std::nullopt, 0 };
+        look_action look { id, worker.acknowledged, std::nullopt, 0, worker.life };
         if (worker.adopted) {
             bool shared = worker.servingCpu > 0 && worker.fillerCpu > 0;
             look.waitMs = shared ? settings.sharedLookWaitMs : settings.lookWaitMs;
@@ -144,12 +144,34 @@
 {
     if (worker.answeredAt == 0) {
         auto longest = static_cast<ms>(static_cast<double>(settings.maxLeaseMs) * clockError);
-        return now - beganAt > settings.priorGrantMs + longest + lapseSlackMs;
+        ms lastGrant = std::max(beganAt + settings.priorGrantMs, worker.lifeMetAt);
+        return now - lastGrant > longest + lapseSlackMs;
     }
     auto left = static_cast<double>(std::max<ms>(0, worker.leaseUntilWorkerMs - worker.clockWorkerMs));
     return now - worker.clockAt > static_cast<ms>(left * clockError) + lapseSlackMs;
 }
 
+// What ran in the earlier life is over. But an order that was sent before the new life was known may have
+// reached it, so each copy waits for what the new life reports.
+void cell_model::meetNewLife(worker_state& worker)
+{
+    log(log_line("worker_new_life")
+            .add("worker", worker.info.id)
+            .add("tasks", static_cast<int64_t>(worker.placed.size())));
+    worker.life++;
+    worker.lifeMetAt = now;
+    worker.adopted = false;
+    worker.processed = worker.acknowledged = 0;
+    worker.leaseUntilWorkerMs = worker.clockWorkerMs = 0;
+    worker.answeredAt = 0;
+    std::erase_if(writingEnds, [&](const auto& each) { return each.first == &worker; });
+    for (const placement& each : worker.placed) {
+        task_copy* copy = findCopy(each);
+        if (copy && copy->phase == copy_phase::doomed)
+            copy->stopAnsweredAt = copy->stopSentAt = 0;
+    }
+}
+
 void cell_model::loseAll(worker_state& worker, std::string_view why)
 {
     log(log_line("worker_lost")
@@ -169,21 +191,23 @@
     }
 }
 
-void cell::onLookFailed(const worker_id& id, order_outcome outcome, ms now)
+void cell::onLookFailed(const look_action& look, order_outcome outcome, ms now)
 {
     cell_model& m = *m_model;
     m.now = now;
-    auto found = m.workers.find(id);
+    auto found = m.workers.find(look.worker);
     if (found == m.workers.end())
         return;
     worker_state& worker = *found->second;
     worker.looking = false;
     worker.failedLooks++;
+    if (m.has(cell_fault::trust_silence) && worker.adopted)
+        m.loseAll(worker, "silent");
     worker.lookAt = now + std::min<ms>(lookAgainMs * worker.failedLooks, lookAgainMostMs);
     if (worker.failedLooks == 1)
-        m.log(log_line("look_failed").add("worker", id).add("outcome", toString(outcome)));
+        m.log(log_line("look_failed").add("worker", look.worker).add("outcome", toString(outcome)));
     if (outcome == order_outcome::fenced)
-        m.fenced = true;
+        m.noteFenced(worker, look.life);
     if (outcome == order_outcome::reborn && worker.adopted)
         m.loseAll(worker, "another_life_at_address");
 }
@@ -203,9 +227,11 @@
     if (worker.failedLooks > 0)
         placeNeeded = true;
     worker.failedLooks = 0;
-    if (report.bornUnixMs != 0 && report.bornUnixMs != worker.info.bornUnixMs) {
+    if (report.bornUnixMs != 0 && report.bornUnixMs < worker.info.bornUnixMs)
+        return; // Of an earlier life.
+    if (report.bornUnixMs > worker.info.bornUnixMs) {
         if (worker.info.bornUnixMs != 0)
-            loseAll(worker, "new_life");
+            meetNewLife(worker);
         worker.info.bornUnixMs = report.bornUnixMs;
     }
     worker.clockWorkerMs = report.clockWorkerMs;
@@ -225,6 +251,7 @@
         if (each.number > worker.processed) {
             takeEnd(worker, each);
             worker.processed = each.number;
+            worker.acknowledged = has(cell_fault::acknowledge_early) ? each.number : worker.acknowledged;
         }
     }
     for (const running_task& each : report.running)
@@ -245,7 +272,7 @@
                 .add("task", seen.task.str())
                 .add("run", seen.run)
                 .add("worker", worker.info.id));
-        actions.push_back(stop_action { worker.info.id, seen.task, seen.run });
+        actions.push_back(stop_action { worker.info.id, seen.task, seen.run, worker.life });
         return;
     }
     copy->listedIn = worker.reports;
@@ -339,7 +366,8 @@
         }
         task_run& counted = step->spec->gang ? step->tasks.front() : task;
         counted.failures++;
-        if (!step->spec->lasting && policy && counted.failures >= policy->maxAttempts) {
+        if (!step->spec->lasting && policy && counted.failures >= policy->maxAttempts
+            && !has(cell_fault::ignore_attempts)) {
             finishJob(job, job_state::failed);
             return;
         }
@@ -353,12 +381,18 @@
     requeue(*step, end.task.index);
 }
 
+resources cell_model::bookingOf(const step_spec& spec) const
+{
+    if (has(cell_fault::book_nothing))
+        return {};
+    return { spec.filler ? 0 : spec.cpuMilli, spec.memoryMb, spec.accelerators, 0 };
+}
+
 task_copy& cell_model::place(step_run& step, int index, worker_state& worker, uint32_t run)
 {
     task_run& task = step.tasks[static_cast<size_t>(index)];
     const step_spec& spec = *step.spec;
-    worker.booked
-        = worker.booked + resources { spec.filler ? 0 : spec.cpuMilli, spec.memoryMb, spec.accelerators, 0 };
+    worker.booked = worker.booked + bookingOf(spec);
     worker.fillerCpu += spec.filler ? spec.cpuMilli : 0;
     worker.fillersChangedAt = spec.filler ? now : worker.fillersChangedAt;
     worker.servingCpu += spec.lasting ? spec.cpuMilli : 0;
@@ -384,8 +418,7 @@
     *found = worker.placed.back();
     worker.placed.pop_back();
     const step_spec& spec = *step.spec;
-    worker.booked
-        = worker.booked - resources { spec.filler ? 0 : spec.cpuMilli, spec.memoryMb, spec.accelerators, 0 };
+    worker.booked = worker.booked - bookingOf(spec);
     worker.fillerCpu -= spec.filler ? spec.cpuMilli : 0;
     worker.fillersChangedAt = spec.filler ? now : worker.fillersChangedAt;
     worker.servingCpu -= spec.lasting ? spec.cpuMilli : 0;
@@ -396,7 +429,7 @@
 void cell_model::sendStop(step_run& step, int index, task_copy& copy)
 {
     copy.stopSentAt = now;
-    actions.push_back(stop_action { copy.on->info.id, step.ref(index), copy.run });
+    actions.push_back(stop_action { copy.on->info.id, step.ref(index), copy.run, copy.on->life });
 }
 
 void cell_model::doom(step_run& step, int index, task_copy& copy, std::string_view why)
@@ -418,13 +451,14 @@
 {
     cell_model& m = *m_model;
     m.now = now;
-    if (outcome == order_outcome::fenced)
-        m.fenced = true;
+    auto at = m.workers.find(stop.worker);
+    if (outcome == order_outcome::fenced && at != m.workers.end())
+        m.noteFenced(*at->second, stop.life);
     step_run* step = m.findStep(stop.task);
     task_copy* copy = step ? cell_model::findCopy({ step, stop.task.index, stop.run }) : nullptr;
     if (!copy || copy->on->info.id != stop.worker)
         return;
-    if (outcome == order_outcome::done)
+    if (outcome == order_outcome::done && stop.life == copy->on->life)
         copy->stopAnsweredAt = now;
 }
 
@@ -451,11 +485,11 @@
               .add("run", start.run)
               .add("worker", start.worker)
               .add("outcome", toString(outcome)));
-    if (outcome == order_outcome::fenced) {
+    if (outcome == order_outcome::fenced && start.life == worker.life) {
         m.fenced = true;
         return;
     }
-    if (outcome == order_outcome::no_answer) {
+    if (outcome == order_outcome::no_answer && !m.has(cell_fault::restart_unanswered)) {
         if (copy->phase == copy_phase::ordered)
             m.doom(*step, start.task.index, *copy, "start_unanswered");
         return;
--- a/src/jobs/request/codec.cpp
+++ b/src/jobs/request/codec.cpp
@@ -2,6 +2,7 @@
 // up to its own, so that instances of two releases work side by side during a rolling restart.
 #include "jobs/jobs.h"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 
 namespace camphorwell {
@@ -132,6 +133,12 @@
     return names[static_cast<size_t>(outcome)];
 }
 
+uint64_t orderToken(uint64_t ownerToken, uint32_t life)
+{
+    constexpr uint64_t livesAtMost = 4096;
+    return ownerToken * livesAtMost + std::min<uint64_t>(life, livesAtMost - 1);
+}
+
 std::string task_ref::str() const
 {
     return job + "." + std::to_string(occurrence) + "." + std::to_string(step) + "." + std::to_string(index);
--- a/src/scheduler/process/cell_host_work.cpp
+++ b/src/scheduler/process/cell_host_work.cpp
@@ -93,7 +93,7 @@
         void operator()(const start_action& order) const
         {
             self.context.counts["starts"]++;
-            self.workers.start(addressOf(order.worker), order, self.token,
+            self.workers.start(addressOf(order.worker), order, orderToken(self.token, order.life),
                 [&self = self, current = current, order](order_outcome outcome) {
                     if (!self.holds(current))
                         return;
@@ -107,7 +107,7 @@
         void operator()(const stop_action& order) const
         {
             self.context.counts["stops"]++;
-            self.workers.stop(addressOf(order.worker), order, self.token,
+            self.workers.stop(addressOf(order.worker), order, orderToken(self.token, order.life),
                 [&self = self, current = current, order](order_outcome outcome) {
                     if (self.holds(current))
                         self.owned->onStopped(order, outcome, bootNow());
@@ -116,21 +116,22 @@
         void operator()(const pace_action& order) const
         {
             self.context.counts["paces"]++;
-            self.workers.pace(addressOf(order.worker), order, self.token, [](order_outcome) {});
+            self.workers.pace(
+                addressOf(order.worker), order, orderToken(self.token, order.life), [](order_outcome) {});
         }
         void operator()(const look_action& look) const
         {
             self.context.counts["looks"]++;
             ms sentAt = bootNow();
-            self.workers.look(addressOf(look.worker), look, self.token,
-                [&self = self, current = current, id = look.worker, sentAt](
+            self.workers.look(addressOf(look.worker), look, orderToken(self.token, look.life),
+                [&self = self, current = current, look, sentAt](
                     order_outcome outcome, const worker_report& report) {
                     if (!self.holds(current))
                         return;
                     if (outcome == order_outcome::done)
-                        self.owned->onReport(id, report, sentAt, bootNow());
+                        self.owned->onReport(look.worker, report, sentAt, bootNow());
                     else
-                        self.owned->onLookFailed(id, outcome, bootNow());
+                        self.owned->onLookFailed(look, outcome, bootNow());
                     self.schedulePump();
                 });
         }
--- /dev/null
+++ b/tests/jobs/jobs_test.cpp
@@ -0,0 +1,378 @@
+// The jobs library: its records, ownership, interference, and randomised worlds.
+#define BOOST_TEST_MODULE jobs
+#include "jobs/process/interference.h"
+#include "tests/jobs/world.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace camphorwell;
+using camphorwell::testing::world;
+using camphorwell::testing::world_settings;
+
+namespace {
+
+std::vector<std::string> play(uint64_t seed, cell_fault fault = cell_fault::none)
+{
+    world_settings settings;
+    settings.seed = seed;
+    settings.guards = seed % 3 != 0;
+    settings.fault = fault;
+    return world(settings).run();
+}
+
+job_record oneStep(int count)
+{
+    job_record out { "batch", 1'000, { "text", {}, 0, 0, 0 } };
+    step_spec step;
+    step.count = count;
+    step.cpuMilli = 1000;
+    step.memoryMb = 100;
+    out.spec.steps.push_back(step);
+    return out;
+}
+
+std::shared_ptr<queue_table> batchQueue()
+{
+    auto table = std::make_shared<queue_table>();
+    (*table)["batch"] = { "batch", "service", 2, 3, 2.0, 1000, false, 0 };
+    return table;
+}
+
+worker_record worker(const std::string& id)
+{
+    worker_record out;
+    out.id = id;
+    out.address = "10.0.0.1:80";
+    out.service = "service";
+    out.capacity = { 8000, 16000, 0, 0 };
+    out.bornUnixMs = 5;
+    return out;
+}
+
+// A cell driven by hand.
+struct driven {
+    cell scheduler;
+    ms now = 1'000;
+    std::vector<action> actions;
+    std::map<job_id, std::string> progress;
+
+    driven()
+        : scheduler(cell_settings {}, batchQueue(), [](const log_line&) {})
+    {
+        scheduler.setClock(now, now);
+    }
+    void step(bool durable = true)
+    {
+        scheduler.setMayGrant(true);
+        scheduler.tick(now, now);
+        collect();
+        if (auto batch = scheduler.takeWrite(now)) {
+            if (!durable)
+                return;
+            for (const auto& each : batch->records)
+                progress[each.job] = each.bytes;
+            scheduler.onWritten(now);
+        }
+        collect();
+    }
+    void collect()
+    {
+        for (action& each : scheduler.takeActions())
+            actions.push_back(std::move(each));
+    }
+    template <typename Kind> std::vector<Kind> take()
+    {
+        std::vector<Kind> out;
+        for (const action& each : actions) {
+            if (const auto* found = std::get_if<Kind>(&each))
+                out.push_back(*found);
+        }
+        std::erase_if(actions, [](const action& each) { return std::holds_alternative<Kind>(each); });
+        return out;
+    }
+    // Answers the look at a worker.
+    void report(const worker_id& id, worker_report report)
+    {
+        report.bornUnixMs = report.bornUnixMs ? report.bornUnixMs : 5;
+        report.clockWorkerMs = now;
+        scheduler.onReport(id, report, now, now);
+    }
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(job_records_survive_the_codec)
+{
+    job_record record = oneStep(3);
+    record.spec.repeatCount = 4;
+    step_spec step;
+    step.dependsOn = { 0 };
+    step.gang = step.sameRack = step.filler = step.lasting = step.speculative = step.checkpoints = true;
+    step.requiredLabel = "a";
+    step.nearRack = "r1";
+    step.maxPerWorker = 2;
+    step.image = "image";
+    step.tailTargetMs = 18;
+    step.mayBeAway = 1;
+    record.spec.steps.push_back(step);
+    auto read = decodeJob(encodeJob(record));
+    BOOST_REQUIRE(read);
+    BOOST_TEST((*read == record));
+}
+
+BOOST_AUTO_TEST_CASE(foreign_records_are_refused)
+{
+    std::string good = encodeJob(oneStep(3));
+    BOOST_TEST(!decodeJob(""));
+    BOOST_TEST(!decodeJob("\xff\xff"));
+    BOOST_TEST(!decodeClaim("no claim"));
+    std::mt19937 random(7);
+    for (int i = 0; i < 20'000; i++) {
+        std::string bad = good;
+        for (int k = 0; k < 3; k++)
+            bad[random() % bad.size()] = static_cast<char>(random());
+        bad.resize(random() % (bad.size() + 1));
+        decodeJob(bad);
+        decodeClaim(bad);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(faults_of_jobs_name_the_field)
+{
+    job_spec spec = oneStep(3).spec;
+    BOOST_TEST(!faultOf(spec));
+    spec.steps[0].dependsOn = { 0 };
+    BOOST_TEST(faultOf(spec).value().starts_with("steps/0/dependsOn"));
+    spec.steps.clear();
+    BOOST_TEST(faultOf(spec).value().starts_with("steps"));
+}
+
+BOOST_AUTO_TEST_CASE(no_start_before_its_record_is_durable)
+{
+    driven d;
+    d.scheduler.addJob("j", oneStep(1));
+    d.scheduler.setWorker(worker("w"), d.now);
+    d.scheduler.begin(d.now, d.now);
+    d.step();
+    d.report("w", {});
+    d.step(false);
+    BOOST_TEST(d.take<start_action>().empty());
+    d.scheduler.onWritten(d.now);
+    d.collect();
+    BOOST_TEST(d.take<start_action>().size() == 1);
+}
+
+BOOST_AUTO_TEST_CASE(an_end_is_acknowledged_only_when_durable)
+{
+    driven d;
+    d.scheduler.addJob("j", oneStep(1));
+    d.scheduler.setWorker(worker("w"), d.now);
+    d.scheduler.begin(d.now, d.now);
+    d.step();
+    d.report("w", {});
+    d.step();
+    auto starts = d.take<start_action>();
+    BOOST_REQUIRE(starts.size() == 1);
+    d.scheduler.onStarted(starts[0], order_outcome::done, d.now);
+    d.step();
+    d.take<look_action>();
+    worker_report report;
+    report.ended.push_back({ 1, starts[0].task, 1, end_kind::done, "" });
+    d.now += 500;
+    d.report("w", report);
+    d.now += 500;
+    d.step(false);
+    for (const auto& look : d.take<look_action>())
+        BOOST_TEST(look.acknowledged == 0);
+    BOOST_TEST((d.scheduler.stateOf("j") == job_state::running));
+    d.scheduler.onWritten(d.now);
+    BOOST_TEST((d.scheduler.stateOf("j") == job_state::completed));
+    d.report("w", report);
+    d.now += 500;
+    d.step();
+    auto looks = d.take<look_action>();
+    BOOST_REQUIRE(!looks.empty());
+    BOOST_TEST(looks.back().acknowledged == 1);
+}
+
+// A step that was done under an earlier owner was left out of the next record, and ran again after one more
+// takeover.
+BOOST_AUTO_TEST_CASE(done_steps_survive_two_takeovers)
+{
+    job_record record = oneStep(1);
+    record.spec.steps.push_back(record.spec.steps[0]);
+    record.spec.steps[1].dependsOn = { 0 };
+    std::map<job_id, std::string> progress;
+    for (int takeover = 0; takeover < 3; takeover++) {
+        driven d;
+        for (const auto& [id, bytes] : progress)
+            d.scheduler.restoreProgress(id, bytes);
+        d.scheduler.addJob("j", record);
+        d.scheduler.setWorker(worker("w"), d.now);
+        d.scheduler.begin(d.now, d.now);
+        d.step();
+        d.report("w", {});
+        d.step();
+        d.step();
+        for (const auto& start : d.take<start_action>()) {
+            BOOST_TEST(start.task.step == (takeover == 0 ? 0 : 1));
+            if (takeover > 0)
+                continue;
+            d.scheduler.onStarted(start, order_outcome::done, d.now);
+            worker_report report;
+            report.ended.push_back({ 1, start.task, 1, end_kind::done, "" });
+            d.report("w", report);
+            d.step();
+        }
+        progress = d.progress;
+    }
+}
+
+// Each failed look used to count as a longer lease, so that the lease of a dead worker never ran out.
+BOOST_AUTO_TEST_CASE(the_lease_of_a_silent_worker_runs_out)
+{
+    driven d;
+    d.scheduler.addJob("j", oneStep(1));
+    d.scheduler.setWorker(worker("w"), d.now);
+    d.scheduler.begin(d.now, d.now);
+    d.step();
+    d.report("w", {});
+    d.step();
+    auto starts = d.take<start_action>();
+    BOOST_REQUIRE(starts.size() == 1);
+    d.scheduler.onStarted(starts[0], order_outcome::done, d.now);
+    d.scheduler.setWorker(worker("v"), d.now);
+    bool restarted = false;
+    for (int i = 0; i < 400 && !restarted; i++) {
+        d.now += 25;
+        d.step();
+        for (const auto& look : d.take<look_action>()) {
+            if (look.worker == "w")
+                d.scheduler.onLookFailed(look, order_outcome::no_answer, d.now);
+            else
+                d.report("v", {});
+        }
+        for (const auto& start : d.take<start_action>()) {
+            restarted = true;
+            BOOST_TEST(start.worker == "v");
+            BOOST_TEST(start.run == 2);
+            BOOST_TEST(d.now >= 1'000 + 5'000);
+        }
+    }
+    BOOST_TEST(restarted);
+}
+
+BOOST_AUTO_TEST_CASE(an_unanswered_start_is_stopped_before_the_task_runs_elsewhere)
+{
+    driven d;
+    d.scheduler.addJob("j", oneStep(1));
+    d.scheduler.setWorker(worker("w"), d.now);
+    d.scheduler.begin(d.now, d.now);
+    d.step();
+    d.report("w", {});
+    d.step();
+    auto starts = d.take<start_action>();
+    BOOST_REQUIRE(starts.size() == 1);
+    d.scheduler.onStarted(starts[0], order_outcome::no_answer, d.now);
+    d.collect();
+    auto stops = d.take<stop_action>();
+    BOOST_REQUIRE(stops.size() == 1);
+    d.report("w", {});
+    d.step();
+    BOOST_TEST(d.take<start_action>().empty());
+    d.scheduler.onStopped(stops[0], order_outcome::done, d.now);
+    d.now += 10;
+    d.report("w", {});
+    d.step();
+    auto again = d.take<start_action>();
+    BOOST_REQUIRE(again.size() == 1);
+    BOOST_TEST(again[0].run == 2);
+}
+
+BOOST_AUTO_TEST_CASE(one_instance_at_a_time_owns_a_cell)
+{
+    ownership_settings settings;
+    settings.claimDelayMs = 50;
+    ownership first(settings, { "a", 1, "10.0.0.1:1", 0, false });
+    ownership second(settings, { "b", 1, "10.0.0.2:1", 0, false });
+    first.onObserved(std::nullopt, 0, 0);
+    second.onObserved(std::nullopt, 0, 0);
+    BOOST_TEST((first.next(10) == ownership::step::none));
+    BOOST_TEST((first.next(60) == ownership::step::claim));
+    BOOST_TEST((second.next(60) == ownership::step::claim));
+    first.onAppended(ownership::step::claim, 0, 60);
+    second.onConflict();
+    BOOST_TEST(first.owns());
+    BOOST_TEST(!second.owns());
+    BOOST_TEST(second.mustRead());
+    BOOST_TEST((second.next(5000) == ownership::step::none));
+    second.onObserved(claim_record { "a", 1, "10.0.0.1:1", 0, false }, 1, 100);
+    BOOST_TEST((second.next(1000) == ownership::step::none));
+    BOOST_TEST((second.next(2000) == ownership::step::claim));
+    second.onAppended(ownership::step::claim, 1, 2000);
+    BOOST_TEST(second.token() > first.token());
+    BOOST_TEST(!first.mayGrant(60 + settings.grantForMs + 1));
+    first.onObserved(claim_record { "b", 1, "10.0.0.2:1", 0, false }, 2, 2100);
+    BOOST_TEST(!first.owns());
+}
+
+BOOST_AUTO_TEST_CASE(silence_counts_only_while_reads_work)
+{
+    ownership_settings settings;
+    ownership standby(settings, { "b", 1, "10.0.0.2:1", 0, false });
+    standby.onObserved(claim_record { "a", 1, "10.0.0.1:1", 0, false }, 1, 0);
+    standby.onReadFailed();
+    BOOST_TEST((standby.next(10'000) == ownership::step::none));
+    standby.onReadOk(10'000);
+    BOOST_TEST((standby.next(10'100) == ownership::step::none));
+    BOOST_TEST((standby.next(10'000 + settings.silenceMs) == ownership::step::claim));
+}
+
+BOOST_AUTO_TEST_CASE(interference_finds_the_pairs_that_disturb)
+{
+    std::mt19937 random(3);
+    std::uniform_real_distribution<> uniform(0, 1);
+    interference learnt;
+    const std::vector<std::string> fillers { "f0", "f1", "f2", "f3", "f4", "f5" };
+    for (int i = 0; i < 1500; i++) {
+        std::vector<interference::neighbour> beside;
+        double strain = 0.42 + 0.2 * std::sin(i / 7.0);
+        for (size_t f = 0; f < fillers.size(); f++) {
+            if (uniform(random) > 0.25)
+                continue;
+            double cores = 1 + 3 * uniform(random);
+            beside.push_back({ fillers[f], cores });
+            strain += f == 2 ? 0.06 * cores : 0;
+        }
+        learnt.observe("s", 0.22 / (1 - std::min(strain, 0.99)), beside);
+    }
+    for (const auto& each : fillers) {
+        if (each == "f2")
+            BOOST_TEST(learnt.perCore(each, "s") > 0.035);
+        else
+            BOOST_TEST(learnt.perCore(each, "s") < 0.02);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(worlds_keep_every_promise)
+{
+    for (uint64_t seed = 1; seed <= 60; seed++) {
+        auto broken = play(seed);
+        for (const auto& each : broken)
+            BOOST_ERROR("seed " << seed << ": " << each);
+    }
+}
+
+// A check that cannot fail shows nothing: each deliberate fault must be caught by some world.
+BOOST_AUTO_TEST_CASE(deliberate_faults_are_caught)
+{
+    for (auto fault : { cell_fault::acknowledge_early, cell_fault::start_unrecorded,
+             cell_fault::trust_silence, cell_fault::forget_restored, cell_fault::restart_unanswered,
+             cell_fault::ignore_order, cell_fault::ignore_attempts, cell_fault::early_occurrences,
+             cell_fault::book_nothing, cell_fault::deaf_to_cancels }) {
+        bool caught = false;
+        for (uint64_t seed = 1; seed <= 60 && !caught; seed++)
+            caught = !play(seed, fault).empty();
+        BOOST_TEST(caught, "fault " << static_cast<int>(fault) << " is not caught");
+    }
+}
--- /dev/null
+++ b/tests/jobs/world.h
@@ -0,0 +1,87 @@
+// A cell in virtual time: owners that come and go, workers that crash, are cut off or answer late, orders
+// that are lost or carried out seconds later, records that are refused after a takeover. The observer sees
+// only what the workers ran and what callers were told.
+#pragma once
+
+#include "tests/jobs/model.h"
+
+#include <queue>
+
+namespace camphorwell::testing {
+
+struct world_settings {
+    uint64_t seed = 1;
+    int workers = 8;
+    int jobs = 25;
+    ms trouble = 25'000; // Troubles and arrivals end at this time.
+    ms calm = 45'000; // Then everything has this long to finish.
+    bool guards = true;
+    cell_fault fault = cell_fault::none;
+};
+
+class world {
+public:
+    explicit world(world_settings);
+    ~world();
+    // The promises that were broken, one line each.
+    std::vector<std::string> run();
+    std::vector<std::string> log() const { return m_log; }
+    int takeovers() const { return m_takeovers; }
+
+private:
+    struct owner;
+    struct event {
+        ms at = 0;
+        uint64_t order = 0;
+        std::function<void()> what;
+        bool operator>(const event& other) const
+        {
+            return std::tie(at, order) > std::tie(other.at, other.order);
+        }
+    };
+    struct submitted {
+        job_record record;
+        ms acceptedAt = 0;
+        std::optional<ms> cancelledAt;
+        bool completedShown = false;
+    };
+
+    void after(ms delay, std::function<void()>);
+    ms pick(ms least, ms most);
+    bool chance(double share);
+    job_record randomJob();
+    void submit();
+    void takeOver();
+    void tickOwner(const std::shared_ptr<owner>&);
+    void pump(const std::shared_ptr<owner>&);
+    void perform(const std::shared_ptr<owner>&, const action&);
+    // Carries an order out at the worker, perhaps late, and brings the answer back, perhaps not.
+    void call(const std::shared_ptr<owner>&, const worker_id&,
+        std::function<order_outcome(model_worker&)> order, std::function<void(order_outcome)> answer);
+    void trouble();
+    void checkStart(const start_action&, const owner&, size_t before);
+    void checkEnd();
+    void broken(std::string);
+    const step_spec* sizeOf(const task_ref&) const;
+
+    world_settings m_settings;
+    std::mt19937_64 m_random;
+    std::priority_queue<event, std::vector<event>, std::greater<>> m_events;
+    uint64_t m_order = 0;
+    ms m_now = 100'000;
+    ms m_start = 100'000;
+    std::map<worker_id, std::unique_ptr<model_worker>> m_workers;
+    std::vector<seen_run> m_history;
+    std::map<job_id, submitted> m_jobs;
+    std::vector<std::pair<job_id, bool>> m_accepted; // The log: a job, or the cancel of one.
+    std::map<job_id, std::string> m_progress;
+    uint64_t m_token = 0;
+    ms m_storeDownUntil = 0;
+    std::vector<std::shared_ptr<owner>> m_owners;
+    std::shared_ptr<queue_table> m_queues;
+    std::vector<std::string> m_broken;
+    std::vector<std::string> m_log;
+    int m_takeovers = 0;
+};
+
+} // namespace camphorwell::testing
