--- a/src/jobs/process/cell_placing.cpp
+++ b/src/jobs/process/cell_placing.cpp
@@ -26,6 +26,7 @@
     constexpr double suitedWeight = 25'000; // Thousandths of a core for a worker that suits every filler.
     constexpr ms patienceMs
         = 1500; // After so long a filler goes where it disturbs least, and is slowed there.
+    constexpr ms lastPatienceMs = 2400; // Nothing that has room anywhere waits for longer.
     constexpr ms adviceAgainMs = 500;
     constexpr ms freshMs = 1500; // A worker must have answered so recently, beyond the wait of a look.
 
@@ -106,7 +107,7 @@
         double excess = -1;
         if (spec.filler) {
             if (left < static_cast<int64_t>(static_cast<double>(spec.cpuMilli) * fillerRoom)
-                || overByFillers(worker))
+                || (overByFillers(worker) && now - task.waitingSince < lastPatienceMs))
                 continue;
             excess = excessStrain(worker, spec.image, static_cast<double>(spec.cpuMilli) / 1000);
             if (excess > -strainMargin && now - task.waitingSince < patienceMs)
--- a/src/jobs/process/cell_sharing.cpp
+++ b/src/jobs/process/cell_sharing.cpp
@@ -21,7 +21,7 @@
     constexpr double raiseTo = 0.08; // Strain below the limit up to which they are let go.
     constexpr ms evictAfterMs = 1500; // At a low pace for so long.
     constexpr int evictPercent = 34; // At or under this a pace is low.
-    constexpr ms pauseAfterMs = 1400; // A serving task over its target for so long stops all fillers there.
+    constexpr ms pauseAfterMs = 1000; // A serving task over its target for so long stops all fillers there.
     constexpr ms clearedMs = 1500; // Without fillers for so long, a tail is a serving task's own.
     constexpr ms weighEveryMs = 500;
     constexpr double harmlessPerCore = 0.02; // Strain of a core below which a filler suits a serving task.
