--- a/src/jobs/process/cell_sharing.cpp
+++ b/src/jobs/process/cell_sharing.cpp
@@ -25,10 +25,10 @@
     constexpr ms clearedMs = 1500; // Without fillers for so long, a tail is a serving task's own.
     constexpr ms weighEveryMs = 500;
     constexpr double harmlessPerCore = 0.02; // Strain of a core below which a filler suits a serving task.
-    constexpr double burst = 2.0; // What a filler strains at times, against its mean.
+    constexpr double burst = 1.3; // What a filler strains at times, against its mean.
     constexpr double harmless = 0.02; // Strain by a filler that is not worth slowing it for.
-    constexpr int raiseStep = 20; // Percent at a time for a filler that disturbs.
-    constexpr int firstPaceMost = 60; // A filler that disturbs starts at no more.
+    constexpr int raiseStep = 50; // Percent at a time for a filler that disturbs.
+    constexpr int firstPaceMost = 100; // A filler that disturbs starts at no more.
     constexpr int firstPaceLeast = 20; // A filler starts at no less.
     constexpr int paceStep = 10; // Paces are whole multiples of this.
 
