Set the workers' figures against what ran in their half second

Cause: figures were taken as of now, so fillers that had just come, gone or changed their pace were counted twice or not at all; paces swung between 0 and 100 each half second, and many small fillers added up unseen. Change: a short history of the fillers of each worker; a serving task's own load is what is left of its strain; paces follow from the strain to come.

--- a/src/jobs/process/cell_model.h
+++ b/src/jobs/process/cell_model.h
@@ -2,7 +2,7 @@
 #pragma once
 
 #include "jobs/jobs.h"
-#include "jobs/process/interference.h"
+#include "jobs/process/filler_history.h"
 
 #include <deque>
 
@@ -31,8 +31,7 @@
     ms percentAt = 0; // When the percentage last rose.
     int64_t load = 0;
     int pace = 100;
-    int figurePace = 0; // The pace that the worker's figures show already.
-    ms changedAt = 0; // Of the pace, or of the start.
+    double ownLoad = -1; // Of a serving task: strain by its own traffic; below 0: not known.
     ms slowSince = 0; // Since when its pace is low; 0: it is not.
     std::string ticket;
 };
@@ -115,7 +114,7 @@
 
 struct serving_figure {
     std::string image;
-    double strain = 0;
+    double ownLoad = 0; // Strain by its own traffic.
 };
 
 struct worker_state {
@@ -127,7 +126,7 @@
     int64_t fillerCpu = 0;
     int64_t servingCpu = 0; // Booked by lasting tasks, which use a part of it.
     std::vector<serving_figure> serving; // As of the last sample.
-    std::map<std::string, double> unseenFillers; // Cores, by image, that the sample does not show yet.
+    filler_history fillers;
     ms sampledAt = 0;
     ms overSince = 0; // Since when a serving task is over its target; 0: none is.
     double suitedShare = 0; // Of the demand of fillers, the part that would disturb nothing there.
@@ -257,10 +256,10 @@
     // cell_sharing.cpp
     void share();
     void sample(worker_state&);
+    double pressOn(const std::string& serving, const worker_state&) const;
     double excessStrain(const worker_state&, const std::string& filler, double added) const;
     void setPace(worker_state&, const placement&, task_copy&, int percent);
-    int firstPace(const worker_state&, const step_spec&) const;
-    void slowStart(worker_state&, const placement&, task_copy&);
+    void startPaced(worker_state&, const placement&, task_copy&);
     bool overByFillers(const worker_state&) const;
     void pauseFillers(worker_state&);
     void weighWorkers();
--- a/src/jobs/process/cell_sharing.cpp
+++ b/src/jobs/process/cell_sharing.cpp
@@ -1,11 +1,12 @@
 // Fillers beside tasks that serve.
 //
-// A serving task reports the tail of its response times, half a second late and roughly. When one is about to
-// be over its target, the filler beside it that strains it most, by what has been learnt of their images, is
-// slowed, by about as much as is too much. What fillers that came or changed their pace since the last figure
-// will add is counted in. Fillers are let go again as far as all tails stay under their targets. A filler
-// that has been slowed for a while is evicted with its checkpoint, to run where it disturbs less. Answers the
-// load of serving tasks whose own traffic swings while batch work fills what they leave.
+// A serving task reports the tail of its response times, half a second late and roughly. What the fillers
+// that ran in that time added, by what has been learnt of their images, is taken off, and leaves the task's
+// own load. With that and the fillers as they are now, the strain to come is expected: when a serving task is
+// about to be over its target, the fillers that strain it most are slowed by as much as is too much, and they
+// are let go again as far as all tails stay under their targets. A filler that has been slowed for a while is
+// evicted with its checkpoint, to run where it disturbs less. Answers the load of serving tasks whose own
+// traffic swings while batch work fills what they leave.
 #include "jobs/process/cell_model.h"
 
 #include <algorithm>
@@ -14,82 +15,88 @@
 
 namespace {
 
-    constexpr ms sampleMs = 500; // The period of the workers' figures.
-    constexpr ms figureLagMs = 900; // A change of fillers shows in the figures after so long.
-    constexpr double slowWithin = 0.03; // Strain below the limit at which fillers are slowed.
-    constexpr double slowTo = 0.10; // Strain below the limit to which they are slowed.
-    constexpr double raiseTo = 0.08; // Strain below the limit up to which they are let go.
+    constexpr ms sampleMs = 500; // The span that the workers' figures tell of.
+    constexpr ms historyMs = 1500; // Of what ran, kept for figures to come.
+    constexpr double ownLoadRate = 0.6; // Weight of the newest figure in a serving task's own load.
+    constexpr double ownLoadLeast = 0.05;
+    constexpr double saturated = 0.97; // A strain at or over this says little about the own load.
+    constexpr double slowWithin = 0.02; // Strain below the limit at which fillers are slowed.
+    constexpr double slowTo = 0.06; // Strain below the limit to which they are slowed.
+    constexpr double raiseTo = 0.07; // Strain below the limit up to which they are let go.
     constexpr ms evictAfterMs = 1500; // At a low pace for so long.
     constexpr int evictPercent = 34; // At or under this a pace is low.
     constexpr ms pauseAfterMs = 1000; // A serving task over its target for so long stops all fillers there.
     constexpr ms clearedMs = 1500; // Without fillers for so long, a tail is a serving task's own.
     constexpr ms weighEveryMs = 500;
-    constexpr double harmlessPerCore = 0.02; // Strain of a core below which a filler suits a serving task.
-    constexpr double burst = 1.3; // What a filler strains at times, against its mean.
-    constexpr double harmless = 0.02; // Strain by a filler that is not worth slowing it for.
-    constexpr int raiseStep = 50; // Percent at a time for a filler that disturbs.
-    constexpr int firstPaceMost = 100; // A filler that disturbs starts at no more.
+    constexpr double suitsPerCore = 0.02; // Strain of a core below which a filler suits a serving task.
+    constexpr double harmlessPerCore = 0.010; // Strain of a core for which a filler is not slowed.
     constexpr int firstPaceLeast = 20; // A filler starts at no less.
     constexpr int paceStep = 10; // Paces are whole multiples of this.
 
     double coresOf(const step_spec& spec) { return static_cast<double>(spec.cpuMilli) / 1000; }
 
+    filler_history::key keyOf(const placement& at) { return { at.step, at.index, at.run }; }
+
 } // namespace
 
-// Strain over the limit of the serving task that is worst off, below 0 when all are under their targets. With
-// `added` cores of a filler more, only the serving tasks that it disturbs count.
+double cell_model::pressOn(const std::string& serving, const worker_state& worker) const
+{
+    double sum = 0;
+    for (const auto& [image, cores] : worker.fillers.current())
+        sum += pressure.perCore(image, serving) * cores;
+    return sum;
+}
+
+// Expected strain over the limit of the serving task that is worst off, below 0 when all are under their
+// targets. With `added` cores of a filler more, only the serving tasks that it disturbs count.
 double cell_model::excessStrain(const worker_state& worker, const std::string& filler, double added) const
 {
     double worst = -1;
     for (const auto& serving : worker.serving) {
-        double more = added > 0 ? burst * pressure.perCore(filler, serving.image) * added : 0;
-        if (added > 0 && more < harmless)
+        double perCore = added > 0 ? pressure.perCore(filler, serving.image) : 0;
+        if (added > 0 && perCore < harmlessPerCore)
             continue;
-        for (const auto& [image, cores] : worker.unseenFillers)
-            more += pressure.perCore(image, serving.image) * cores;
-        worst = std::max(worst, serving.strain + more - pressure.limit(serving.image));
+        double expected = serving.ownLoad + pressOn(serving.image, worker) + perCore * added;
+        worst = std::max(worst, expected - pressure.limit(serving.image));
     }
     return worst;
 }
 
 void cell_model::sample(worker_state& worker)
 {
-    std::vector<interference::neighbour> beside;
     worker.serving.clear();
-    worker.unseenFillers.clear();
-    std::vector<std::pair<const step_spec*, double>> tails;
+    worker.fillers.forgetBefore(now - historyMs);
+    auto beside = worker.fillers.between(worker.answeredAt - sampleMs, worker.answeredAt);
+    bool over = false;
     for (const placement& each : worker.placed) {
         const step_spec& spec = *each.step->spec;
-        task_copy* copy = findCopy(each);
-        if (!copy || copy->phase == copy_phase::doomed)
+        task_copy* copy = spec.tailTargetMs > 0 ? findCopy(each) : nullptr;
+        if (!copy || copy->phase != copy_phase::running || copy->load <= 0)
             continue;
-        if (spec.filler) {
-            if (copy->changedAt + figureLagMs <= now)
-                copy->figurePace = copy->pace;
-            if (copy->figurePace > 0)
-                beside.push_back({ spec.image, coresOf(spec) * copy->figurePace / 100 });
-            if (copy->figurePace != copy->pace)
-                worker.unseenFillers[spec.image] += coresOf(spec) * (copy->pace - copy->figurePace) / 100;
-        } else if (spec.tailTargetMs > 0 && copy->load > 0) {
-            tails.emplace_back(
-                &spec, static_cast<double>(copy->load) / static_cast<double>(spec.tailTargetMs));
-        }
-    }
-    bool settled = now - worker.fillersChangedAt >= sampleMs;
-    for (const auto& [spec, ratio] : tails) {
-        // Fillers that came or went since the last figure would be blamed or excused for nothing.
-        if (settled)
-            pressure.observe(spec->image, ratio, beside);
-        worker.serving.push_back({ spec->image, pressure.strain(spec->image, ratio) });
+        double ratio = static_cast<double>(copy->load) / static_cast<double>(spec.tailTargetMs);
+        over |= ratio > 1;
+        pressure.observe(spec.image, ratio, beside);
+        double strain = pressure.strain(spec.image, ratio);
+        double own = strain;
+        for (const auto& filler : beside)
+            own -= pressure.perCore(filler.image, spec.image) * filler.cores;
+        own = std::max(own, ownLoadLeast);
+        if (copy->ownLoad < 0)
+            copy->ownLoad = own;
+        else if (strain < saturated || own < copy->ownLoad)
+            copy->ownLoad += ownLoadRate * (own - copy->ownLoad);
+        worker.serving.push_back({ spec.image, copy->ownLoad });
     }
+    if (!over)
+        worker.overSince = 0;
+    else if (worker.overSince == 0)
+        worker.overSince = now;
 }
 
 void cell_model::setPace(worker_state& worker, const placement& at, task_copy& copy, int percent)
 {
-    worker.unseenFillers[at.step->spec->image] += coresOf(*at.step->spec) * (percent - copy.pace) / 100;
+    worker.fillers.pace(keyOf(at), percent, now + settings.paceMs);
     copy.pace = percent;
-    copy.changedAt = now;
-    worker.fillersChangedAt = now;
     if (percent > evictPercent)
         copy.slowSince = 0;
     else if (copy.slowSince == 0)
@@ -102,27 +109,19 @@
             .add("excess_percent", static_cast<int64_t>(100 * excessStrain(worker, {}, 0))));
 }
 
-// The pace at which a filler may start: one that disturbs the serving tasks there begins slowly.
-int cell_model::firstPace(const worker_state& worker, const step_spec& spec) const
+// A filler that disturbs the serving tasks there starts at the pace that is expected to fit.
+void cell_model::startPaced(worker_state& worker, const placement& at, task_copy& copy)
 {
-    if (excessStrain(worker, spec.image, coresOf(spec)) == -1)
-        return 100;
-    int percent = firstPaceMost;
+    const step_spec& spec = *at.step->spec;
+    if (!spec.filler || worker.serving.empty())
+        return;
+    worker.fillers.pace(keyOf(at), 0, now);
+    int percent = 100;
     while (percent > firstPaceLeast
         && excessStrain(worker, spec.image, coresOf(spec) * percent / 100) > -raiseTo)
         percent -= paceStep;
-    return percent;
-}
-
-void cell_model::slowStart(worker_state& worker, const placement& at, task_copy& copy)
-{
-    const step_spec& spec = *at.step->spec;
-    if (!spec.filler || worker.servingCpu == 0)
-        return;
-    worker.unseenFillers[spec.image] -= coresOf(spec);
-    int percent = firstPace(worker, spec);
-    worker.unseenFillers[spec.image] += coresOf(spec);
-    if (percent < copy.pace)
+    worker.fillers.pace(keyOf(at), 100, now);
+    if (percent < 100)
         setPace(worker, at, copy, percent);
 }
 
@@ -162,7 +161,7 @@
         double suits = 0;
         for (const auto& [image, cores] : demand) {
             bool disturbs = std::any_of(worker->serving.begin(), worker->serving.end(),
-                [&](const auto& each) { return pressure.perCore(image, each.image) > harmlessPerCore; });
+                [&](const auto& each) { return pressure.perCore(image, each.image) > suitsPerCore; });
             suits += disturbs ? 0 : cores;
         }
         worker->suitedShare = total > 0 ? suits / total : 0;
@@ -172,21 +171,23 @@
 // Slows the fillers that strain most until the worst serving task is expected under its limit.
 void cell_model::slowFillers(worker_state& worker)
 {
-    for (size_t tries = 0; tries < worker.placed.size() && excessStrain(worker, {}, 0) > -slowWithin;
-         tries++) {
+    for (size_t tries = 0; tries < worker.placed.size(); tries++) {
+        double excess = excessStrain(worker, {}, 0);
+        if (excess <= -slowTo)
+            return;
         const placement* worst = nullptr;
         task_copy* worstCopy = nullptr;
-        double most = harmless;
+        double worstPerCore = harmlessPerCore;
         for (const placement& each : worker.placed) {
             task_copy* copy = each.step->spec->filler ? findCopy(each) : nullptr;
             if (!copy || copy->phase != copy_phase::running || copy->pace == 0)
                 continue;
             for (const auto& serving : worker.serving) {
-                double press = pressure.perCore(each.step->spec->image, serving.image)
-                    * coresOf(*each.step->spec) * copy->pace / 100;
-                bool over = serving.strain > pressure.limit(serving.image) - slowTo;
-                if (over && press > most) {
-                    most = press;
+                double over
+                    = serving.ownLoad + pressOn(serving.image, worker) - pressure.limit(serving.image);
+                double perCore = pressure.perCore(each.step->spec->image, serving.image);
+                if (over > -slowTo && perCore > worstPerCore) {
+                    worstPerCore = perCore;
                     worst = &each;
                     worstCopy = copy;
                 }
@@ -194,9 +195,9 @@
         }
         if (!worst)
             return;
-        double tooMuch = excessStrain(worker, {}, 0) + slowTo;
-        int percent
-            = static_cast<int>(worstCopy->pace * std::max(0.0, 1 - tooMuch / most)) / paceStep * paceStep;
+        double most = worstPerCore * coresOf(*worst->step->spec) * worstCopy->pace / 100;
+        double kept = std::max(0.0, 1 - (excess + slowTo) / most);
+        int percent = static_cast<int>(worstCopy->pace * kept) / paceStep * paceStep;
         setPace(worker, *worst, *worstCopy, std::max(0, std::min(percent, worstCopy->pace - paceStep)));
     }
 }
@@ -205,16 +206,12 @@
 {
     for (const placement& each : worker.placed) {
         task_copy* copy = each.step->spec->filler ? findCopy(each) : nullptr;
-        if (!copy || copy->phase != copy_phase::running || copy->pace >= 100
-            || now - copy->changedAt < sampleMs)
+        if (!copy || copy->phase != copy_phase::running || copy->pace >= 100)
             continue;
-        // One that disturbs is let go step by step, since what it strains changes within seconds.
-        bool disturbs = excessStrain(worker, each.step->spec->image, coresOf(*each.step->spec)) > -1;
-        int percent = disturbs ? std::min(100, copy->pace + raiseStep) : 100;
+        int percent = 100;
+        double cores = coresOf(*each.step->spec);
         while (percent > copy->pace
-            && excessStrain(
-                   worker, each.step->spec->image, coresOf(*each.step->spec) * (percent - copy->pace) / 100)
-                > -raiseTo)
+            && excessStrain(worker, each.step->spec->image, cores * (percent - copy->pace) / 100) > -raiseTo)
             percent -= paceStep;
         if (percent > copy->pace) {
             setPace(worker, each, *copy, percent);
@@ -241,16 +238,11 @@
             continue;
         worker.sampledAt = now;
         sample(worker);
-        double excess = excessStrain(worker, {}, 0);
-        if (excess <= 0)
-            worker.overSince = 0;
-        else if (worker.overSince == 0)
-            worker.overSince = now;
         if (worker.fillerCpu == 0)
             continue;
         if (worker.overSince != 0 && now - worker.overSince > pauseAfterMs)
             pauseFillers(worker);
-        else if (excess > -slowWithin)
+        else if (excessStrain(worker, {}, 0) > -slowWithin)
             slowFillers(worker);
         else
             raiseFillers(worker);
--- a/src/jobs/process/cell_workers.cpp
+++ b/src/jobs/process/cell_workers.cpp
@@ -399,11 +399,11 @@
     worker.placed.push_back({ &step, index, run });
     task.lastRun = std::max(task.lastRun, run);
     step.job->started = true;
-    if (spec.filler && worker.servingCpu > 0)
-        worker.unseenFillers[spec.image] += static_cast<double>(spec.cpuMilli) / 1000;
+    if (spec.filler)
+        worker.fillers.start(
+            { &step, index, run }, spec.image, static_cast<double>(spec.cpuMilli) / 1000, now);
     task_copy copy;
     copy.run = run;
-    copy.changedAt = now;
     copy.on = &worker;
     task.copies.push_back(std::move(copy));
     return task.copies.back();
@@ -420,6 +420,7 @@
     const step_spec& spec = *step.spec;
     worker.booked = worker.booked - bookingOf(spec);
     worker.fillerCpu -= spec.filler ? spec.cpuMilli : 0;
+    worker.fillers.end({ &step, index, run }, now);
     worker.fillersChangedAt = spec.filler ? now : worker.fillersChangedAt;
     worker.servingCpu -= spec.lasting ? spec.cpuMilli : 0;
     std::erase_if(task.copies, [&](const task_copy& each) { return each.run == run && each.on == &worker; });
@@ -476,7 +477,7 @@
         if (copy->phase == copy_phase::ordered) {
             copy->phase = copy_phase::running;
             copy->percentAt = now;
-            m.slowStart(worker, { step, start.task.index, start.run }, *copy);
+            m.startPaced(worker, { step, start.task.index, start.run }, *copy);
         }
         return;
     }
--- /dev/null
+++ b/src/jobs/process/filler_history.cpp
@@ -0,0 +1,76 @@
+// See filler_history.h.
+#include "jobs/process/filler_history.h"
+
+#include <algorithm>
+
+namespace camphorwell {
+
+filler_history::entry* filler_history::find(const key& which)
+{
+    auto found = std::find_if(m_entries.begin(), m_entries.end(),
+        [&](const entry& each) { return each.endedAt == 0 && each.which == which; });
+    return found == m_entries.end() ? nullptr : &*found;
+}
+
+void filler_history::start(const key& which, const std::string& image, double cores, int64_t now)
+{
+    m_entries.push_back({ which, image, cores, { { now, 100 } }, 0 });
+    m_current[image] += cores;
+}
+
+void filler_history::pace(const key& which, int percent, int64_t at)
+{
+    entry* found = find(which);
+    if (!found)
+        return;
+    m_current[found->image] += found->cores * (percent - found->paces.back().percent) / 100;
+    found->paces.push_back({ at, percent });
+}
+
+void filler_history::end(const key& which, int64_t now)
+{
+    entry* found = find(which);
+    if (!found)
+        return;
+    m_current[found->image] -= found->cores * found->paces.back().percent / 100;
+    found->endedAt = now;
+}
+
+void filler_history::clear()
+{
+    m_entries.clear();
+    m_current.clear();
+}
+
+std::vector<interference::neighbour> filler_history::between(int64_t from, int64_t to) const
+{
+    std::map<std::string, double> sums;
+    auto span = static_cast<double>(std::max<int64_t>(1, to - from));
+    for (const entry& each : m_entries) {
+        int64_t last = each.endedAt == 0 ? to : std::min(to, each.endedAt);
+        for (size_t i = 0; i < each.paces.size(); i++) {
+            int64_t begin = std::max(from, each.paces[i].at);
+            int64_t end = std::min(last, i + 1 < each.paces.size() ? each.paces[i + 1].at : last);
+            if (end > begin)
+                sums[each.image]
+                    += each.cores * each.paces[i].percent / 100 * static_cast<double>(end - begin) / span;
+        }
+    }
+    std::vector<interference::neighbour> out;
+    for (const auto& [image, cores] : sums) {
+        if (cores > 0)
+            out.push_back({ image, cores });
+    }
+    return out;
+}
+
+void filler_history::forgetBefore(int64_t then)
+{
+    std::erase_if(m_entries, [&](const entry& each) { return each.endedAt != 0 && each.endedAt < then; });
+    for (entry& each : m_entries) {
+        while (each.paces.size() > 1 && each.paces[1].at < then)
+            each.paces.erase(each.paces.begin());
+    }
+}
+
+} // namespace camphorwell
--- /dev/null
+++ b/src/jobs/process/filler_history.h
@@ -0,0 +1,48 @@
+// Which fillers ran on a worker, and at what pace, in the last second or so. The workers' figures tell of the
+// last half second, so what they show is set against what ran then.
+#pragma once
+
+#include "jobs/process/interference.h"
+
+#include <cstdint>
+
+namespace camphorwell {
+
+class filler_history {
+public:
+    struct key {
+        const void* step = nullptr;
+        int index = 0;
+        uint32_t run = 0;
+        bool operator==(const key&) const = default;
+    };
+    void start(const key&, const std::string& image, double cores, int64_t now);
+    void pace(const key&, int percent, int64_t at);
+    void end(const key&, int64_t now);
+    void clear();
+
+    // Mean cores in use from `from` to `to`, by image.
+    std::vector<interference::neighbour> between(int64_t from, int64_t to) const;
+    // Cores that will be in use when all paces are in effect, by image.
+    const std::map<std::string, double>& current() const { return m_current; }
+    // Forgets what ended before `then`.
+    void forgetBefore(int64_t then);
+
+private:
+    struct change {
+        int64_t at = 0;
+        int percent = 0;
+    };
+    struct entry {
+        key which;
+        std::string image;
+        double cores = 0;
+        std::vector<change> paces;
+        int64_t endedAt = 0; // 0: runs.
+    };
+    entry* find(const key&);
+    std::vector<entry> m_entries;
+    std::map<std::string, double> m_current;
+};
+
+} // namespace camphorwell
--- a/src/jobs/process/interference.cpp
+++ b/src/jobs/process/interference.cpp
@@ -7,7 +7,7 @@
 
 namespace {
     constexpr double defaultLoad = 0.45;
-    constexpr double defaultPerCore = 0.005;
+    constexpr double defaultPerCore = 0.012;
     constexpr double defaultLeast = 0.25; // Tail / target of an idle serving task.
     constexpr double greatestStrain = 0.98; // A tail beyond it says nothing more.
     // Standard deviations: of one observation, mostly the swing of the own load, and of the priors.
