--- a/src/jobs/process/cell.cpp
+++ b/src/jobs/process/cell.cpp
@@ -85,6 +85,9 @@
     }
 }
 
+std::string cell::encodeLearnt() const { return m_model->pressure.encode(); }
+void cell::restoreLearnt(const std::string& bytes) { m_model->pressure.restore(bytes); }
+
 std::vector<action> cell::takeActions()
 {
     std::vector<action> out;
--- a/src/jobs/process/cell.h
+++ b/src/jobs/process/cell.h
@@ -82,6 +82,10 @@
     std::optional<write_batch> takeWrite(ms now);
     void onWritten(ms now);
 
+    // What was learnt of images, for the next owner.
+    std::string encodeLearnt() const;
+    void restoreLearnt(const std::string& bytes);
+
     void tick(ms now, int64_t unixMs);
     std::vector<action> takeActions();
     // A worker has seen a higher token: somebody else owns the cell.
--- a/src/jobs/process/cell_model.h
+++ b/src/jobs/process/cell_model.h
@@ -251,6 +251,8 @@
     worker_state* chooseWorker(step_run&, const task_run&, const std::string* rack);
     bool usable(const worker_state&) const;
     bool allowed(const step_run&, const worker_state&) const;
+    double scoreOf(const step_run&, const task_run&, const worker_state&) const;
+    bool fillerFits(const worker_state&, const step_spec&) const;
     void askAdvice(step_run&);
 
     // cell_sharing.cpp
--- a/src/jobs/process/cell_placing.cpp
+++ b/src/jobs/process/cell_placing.cpp
@@ -27,6 +27,12 @@
     constexpr ms patienceMs
         = 1500; // After so long a filler goes where it disturbs least, and is slowed there.
     constexpr ms lastPatienceMs = 2400; // Nothing that has room anywhere waits for longer.
+    // Weights in thousandths of a core: against copies of one job on a worker, lasting tasks of other images,
+    // racks far from the data, and the worker where the task failed last.
+    constexpr double sameJobWeight = 1e6;
+    constexpr double strangerWeight = 1e5;
+    constexpr double farWeight = 1e7;
+    constexpr double failedWeight = 1e8;
     constexpr ms adviceAgainMs = 500;
     constexpr ms freshMs = 1500; // A worker must have answered so recently, beyond the wait of a look.
 
@@ -49,6 +55,11 @@
         return worker.info.capacity.cpuMilli - worker.booked.cpuMilli + unused - worker.fillerCpu;
     }
 
+    bool hasLeftOver(const worker_state& worker, const step_spec& spec)
+    {
+        return static_cast<double>(leftForFillers(worker)) >= static_cast<double>(spec.cpuMilli) * fillerRoom;
+    }
+
     int copiesOn(const step_run& step, const worker_state& worker)
     {
         int count = 0;
@@ -93,39 +104,53 @@
     return found != step.tickets.end() && found->second.until > now;
 }
 
+// Whether a filler finds processors left over there and disturbs no serving task.
+bool cell_model::fillerFits(const worker_state& worker, const step_spec& spec) const
+{
+    return hasLeftOver(worker, spec) && !overByFillers(worker)
+        && excessStrain(worker, spec.image, static_cast<double>(spec.cpuMilli) / 1000) <= -strainMargin;
+}
+
+// The greater, the better the step's next task is placed there.
+double cell_model::scoreOf(const step_run& step, const task_run& task, const worker_state& worker) const
+{
+    const step_spec& spec = *step.spec;
+    double score = -static_cast<double>(worker.room().cpuMilli);
+    if (spec.filler) {
+        double excess = excessStrain(worker, spec.image, static_cast<double>(spec.cpuMilli) / 1000);
+        score = static_cast<double>(leftForFillers(worker))
+            - strainWeight * std::max(0.0, excess + strainCalm) - suitedWeight * worker.suitedShare;
+    }
+    if (spec.lasting)
+        score -= sameJobWeight * copiesOn(step, worker) + strangerWeight * strangersOn(step, worker);
+    if (!spec.nearRack.empty() && spec.nearRack != worker.info.rack)
+        score -= farWeight;
+    if (task.failedOn == &worker)
+        score -= failedWeight;
+    return score;
+}
+
 worker_state* cell_model::chooseWorker(step_run& step, const task_run& task, const std::string* rack)
 {
     const step_spec& spec = *step.spec;
     resources need = bookingOf(spec);
+    ms waited = now - task.waitingSince;
     worker_state* best = nullptr;
     double bestScore = 0;
     for (auto& [id, held] : workers) {
         worker_state& worker = *held;
         if (!usable(worker) || (rack && worker.info.rack != *rack) || !need.fits(worker.room()))
             continue;
-        int64_t left = leftForFillers(worker);
-        double excess = -1;
-        if (spec.filler) {
-            if (left < static_cast<int64_t>(static_cast<double>(spec.cpuMilli) * fillerRoom)
-                || (overByFillers(worker) && now - task.waitingSince < lastPatienceMs))
-                continue;
-            excess = excessStrain(worker, spec.image, static_cast<double>(spec.cpuMilli) / 1000);
-            if (excess > -strainMargin && now - task.waitingSince < patienceMs)
+        if (spec.filler && !fillerFits(worker, spec)) {
+            // After a while it goes where it disturbs least, and is slowed there.
+            bool settles = waited >= patienceMs && hasLeftOver(worker, spec)
+                && (!overByFillers(worker) || waited >= lastPatienceMs);
+            if (!settles)
                 continue;
         }
         if (!allowed(step, worker))
             continue;
-        auto room = static_cast<double>(worker.room().cpuMilli);
-        double score = -room;
-        if (spec.filler)
-            score = static_cast<double>(left) - strainWeight * std::max(0.0, excess + strainCalm)
-                - suitedWeight * worker.suitedShare;
-        if (spec.lasting)
-            score = -room - 1e6 * copiesOn(step, worker) - 1e5 * strangersOn(step, worker);
-        if (!spec.nearRack.empty() && spec.nearRack != worker.info.rack)
-            score -= 1e7;
-        if (task.failedOn == &worker)
-            score -= 1e8;
+        double score = scoreOf(step, task, worker);
         if (!best || score > bestScore) {
             best = &worker;
             bestScore = score;
--- a/src/jobs/process/interference.cpp
+++ b/src/jobs/process/interference.cpp
@@ -2,6 +2,7 @@
 #include "jobs/process/interference.h"
 
 #include <algorithm>
+#include <nlohmann/json.hpp>
 
 namespace camphorwell {
 
@@ -15,6 +16,7 @@
     constexpr double loadSpread = 0.10;
     constexpr double perCoreSpread = 0.04;
     constexpr double forgetting = 0.9995; // Of older observations, at each new one.
+    constexpr int learntFormat = 1;
     constexpr size_t mostUnknowns = 25; // Further filler images are taken for harmless.
 } // namespace
 
@@ -37,6 +39,35 @@
     return old;
 }
 
+std::string interference::encode() const
+{
+    using nlohmann::json;
+    json rows = json::array();
+    for (const auto& [image, known] : m_systems)
+        rows.push_back({ image, known.least, known.fillers, known.values, known.covariance });
+    std::string out;
+    json::to_cbor(json::array({ learntFormat, std::move(rows) }), out);
+    return out;
+}
+
+void interference::restore(const std::string& bytes)
+{
+    using nlohmann::json;
+    try {
+        json read = json::from_cbor(bytes, true, false);
+        if (!read.is_array() || read.at(0).get<int>() > learntFormat)
+            return;
+        for (const auto& row : read.at(1)) {
+            system known { row.at(1), row.at(2), row.at(3), row.at(4) };
+            size_t n = known.values.size();
+            if (n == known.fillers.size() + 1 && known.covariance.size() == n * n)
+                m_systems[row.at(0)] = std::move(known);
+        }
+    } catch (const json::exception&) {
+        // Of another writer or a newer format: it is learnt anew.
+    }
+}
+
 double interference::limit(const std::string& image) const
 {
     auto found = m_systems.find(image);
--- a/src/jobs/process/interference.h
+++ b/src/jobs/process/interference.h
@@ -31,6 +31,10 @@
     // Mean strain of a serving task by its own load.
     double ownLoad(const std::string& serving) const;
 
+    // What was learnt, for the next owner of the cell; `restore` ignores what it cannot read.
+    std::string encode() const;
+    void restore(const std::string& bytes);
+
 private:
     struct system {
         double least = 0; // Least tail / target seen.
--- a/src/scheduler/process/cell_host_recovery.cpp
+++ b/src/scheduler/process/cell_host_recovery.cpp
@@ -69,7 +69,9 @@
                                     .add("records", static_cast<int64_t>(answer.items.size()))
                                     .add("end", static_cast<int64_t>(answer.end)));
         for (const auto& each : answer.items) {
-            if (!each.value.empty())
+            if (each.key == learntKey)
+                owned->restoreLearnt(each.value);
+            else if (!each.value.empty())
                 owned->restoreProgress(each.key, each.value);
         }
         recoveryStep(current);
--- a/src/scheduler/process/cell_host_state.h
+++ b/src/scheduler/process/cell_host_state.h
@@ -40,6 +40,8 @@
     int recoveryLeft = 0;
     std::vector<std::pair<uint64_t, platform::keyed_item>> recoveredJobs;
     ms takenAt = 0;
+    ms learntAt = 0;
+    static constexpr const char* learntKey = "~learnt"; // In the progress topic; no job has such an id.
 
     // cell_host.cpp: ownership
     void start();
--- a/src/scheduler/process/cell_host_work.cpp
+++ b/src/scheduler/process/cell_host_work.cpp
@@ -8,6 +8,7 @@
     constexpr ms workersEveryMs = 300;
     constexpr ms retryMs = 150;
     constexpr ms appendTimeoutMs = 1500;
+    constexpr ms learntEveryMs = 3000; // What was learnt goes with the progress.
     constexpr ms dropEveryMs = 4000;
     constexpr size_t dropsAtOnce = 500;
     constexpr ms adviceTimeoutMs = 4000;
@@ -25,6 +26,10 @@
         request->producer = platform::producer_mark { "owner", token, ++sequence };
         for (const auto& each : batch->records)
             request->records.push_back(platform::keyedRecord(each.job, each.bytes));
+        if (bootNow() - learntAt > learntEveryMs) {
+            learntAt = bootNow();
+            request->records.push_back(platform::keyedRecord(learntKey, owned->encodeLearnt()));
+        }
         appendProgress(request, generation);
     }
     performActions();
