--- a/src/jobs/process/cell_sharing.cpp
+++ b/src/jobs/process/cell_sharing.cpp
@@ -215,11 +215,10 @@
             percent -= paceStep;
         if (percent > copy->pace) {
             setPace(worker, each, *copy, percent);
-        } else if (copy->slowSince != 0 && now - copy->slowSince > evictAfterMs))
-            {
-                doom(*each.step, each.index, *copy, "disturbs_serving");
-                return;
-            }
+        } else if (copy->slowSince != 0 && now - copy->slowSince > evictAfterMs) {
+            doom(*each.step, each.index, *copy, "disturbs_serving");
+            return;
+        }
     }
 }
 
--- a/tests/jobs/model.cpp
+++ b/standins/fleet_models.cpp
@@ -1,9 +1,9 @@
-// See model.h.
-#include "tests/jobs/model.h"
+// See fleet_models.h.
+#include "standins/fleet_models.h"
 
 #include <algorithm>
 
-namespace camphorwell::testing {
+namespace camphorwell::fleet {
 
 namespace {
     constexpr ms maxLeaseMs = 6000;
@@ -151,4 +151,4 @@
     record.bornUnixMs = now + 1;
 }
 
-} // namespace camphorwell::testing
+} // namespace camphorwell::fleet
--- a/tests/jobs/model.h
+++ b/standins/fleet_models.h
@@ -6,7 +6,7 @@
 
 #include <random>
 
-namespace camphorwell::testing {
+namespace camphorwell::fleet {
 
 // What the observer sees of one run on a worker.
 struct seen_run {
@@ -67,4 +67,4 @@
     bool overCapacity = false;
 };
 
-} // namespace camphorwell::testing
+} // namespace camphorwell::fleet
--- a/tests/jobs/world.h
+++ b/tests/jobs/world.h
@@ -3,12 +3,15 @@
 // only what the workers ran and what callers were told.
 #pragma once
 
-#include "tests/jobs/model.h"
+#include "standins/fleet_models.h"
 
 #include <queue>
 
 namespace camphorwell::testing {
 
+using fleet::model_worker;
+using fleet::seen_run;
+
 struct world_settings {
     uint64_t seed = 1;
     int workers = 8;
