--- /dev/null
+++ b/tests/platform/platform_test.cpp
@@ -0,0 +1,187 @@
+// The platform's formats, the settings of an instance, and the boundary around platform/.
+#define BOOST_TEST_MODULE platform
+#include "scheduler/scheduler.h"
+
+#include <boost/test/unit_test.hpp>
+#include <filesystem>
+#include <fstream>
+#include <random>
+
+using namespace camphorwell;
+using nlohmann::json;
+
+namespace {
+
+const char* const worker
+    = R"({"Service":"s","Address":"10.0.0.9:8080","Zone":"north","Version":"v1","Slots":8,
+    "State":"ready","ColdLeftMs":0,"Capacity":{"Cpu":16000,"MemMb":32768,"Gpu":1},"Labels":["a","r1-3"],"born":77})";
+const char* const configuration = R"({"Version":7,"Routes":[{"Name":"r","Host":"h","PathPrefix":"/p/",
+    "TimeoutMs":3000,"TargetLatencyMs":250,"Priority":1,"Service":"s","MaxAttempts":4,"Stretch":1.5,
+    "Advice":{"DecideMs":1,"PeriodMs":1,"ValidMs":3000}}],"Services":[],"Limits":{"MaxBodyBytes":262144}})";
+const char* const job = R"({"Spec":"text","Steps":[{"Count":4,"Cpu":500,"MemMb":256,"EstimateMs":900,
+    "Affinity":"r1-3"},{"Count":2,"DependsOn":[0],"Checkpointing":true,"Fills":true,"Image":"i"}]})";
+
+json settings()
+{
+    return { { "instance", "north-1" }, { "dataCentre", "north" }, { "address", "10.0.0.1" },
+        { "callers", "10.0.0.1:80" }, { "readiness", "10.0.0.1:81" }, { "internalPort", 7720 },
+        { "store", { { "address", "10.0.0.2:90" }, { "partitions", 8 } } } };
+}
+
+// Any few bytes of `good` replaced, cut off or doubled.
+std::string spoil(std::string good, std::mt19937& random)
+{
+    const std::string bytes = "{}[]\",:0-9e.tfn\\ \xff";
+    for (int i = 0; i < 4; i++)
+        good[random() % good.size()] = bytes[random() % bytes.size()];
+    if (random() % 4 == 0)
+        good.resize(random() % good.size() + 1);
+    return good;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(a_worker_is_read)
+{
+    auto read = platform::readWorker("w", worker);
+    BOOST_REQUIRE(read);
+    BOOST_TEST(read->service == "s");
+    BOOST_TEST(read->rack == "r1-3");
+    BOOST_TEST(read->capacity.cpuMilli == 16000);
+    BOOST_TEST(read->capacity.accelerators == 1);
+    BOOST_TEST(read->bornUnixMs == 77);
+    BOOST_TEST(!read->draining);
+}
+
+BOOST_AUTO_TEST_CASE(foreign_worker_records_are_refused)
+{
+    json good = json::parse(worker);
+    for (const char* field : { "Service", "Address", "Zone", "State", "Capacity" }) {
+        json bad = good;
+        bad.erase(field);
+        BOOST_TEST(!platform::readWorker("w", bad.dump()), "without " << field);
+        bad[field] = json::array({ 1 });
+        BOOST_TEST(!platform::readWorker("w", bad.dump()), "wrong type of " << field);
+    }
+    good["State"] = "resting";
+    BOOST_TEST(!platform::readWorker("w", good.dump()));
+    BOOST_TEST(!platform::readWorker("w", "\xff\xfe"));
+    BOOST_TEST(!platform::readWorker("w", "[]"));
+}
+
+BOOST_AUTO_TEST_CASE(a_configuration_is_read)
+{
+    auto read = platform::readConfiguration(configuration);
+    BOOST_REQUIRE(read);
+    BOOST_TEST(read->version == 7);
+    BOOST_REQUIRE(read->routes.size() == 1);
+    BOOST_TEST(read->routes[0].queue.maxAttempts == 4);
+    BOOST_TEST(read->routes[0].queue.advised);
+    BOOST_TEST(read->routes[0].queue.adviceValidMs == 3000);
+    BOOST_TEST(read->maxBodyBytes == 262144);
+    BOOST_TEST(!platform::readConfiguration("{}"));
+}
+
+BOOST_AUTO_TEST_CASE(a_job_is_read_or_its_fault_is_named)
+{
+    auto read = platform::readJob(job);
+    BOOST_REQUIRE(std::holds_alternative<job_spec>(read));
+    const auto& spec = std::get<job_spec>(read);
+    BOOST_REQUIRE(spec.steps.size() == 2);
+    BOOST_TEST(spec.steps[0].nearRack == "r1-3");
+    BOOST_TEST(spec.steps[1].filler);
+    BOOST_TEST(spec.steps[1].dependsOn == std::vector<int> { 0 }, boost::test_tools::per_element());
+    auto bad = platform::readJob(R"({"Steps":[{"Count":1,"DependsOn":[3]}]})");
+    BOOST_REQUIRE(std::holds_alternative<std::string>(bad));
+    BOOST_TEST(std::get<std::string>(bad).starts_with("steps/0/dependsOn"));
+    BOOST_TEST(std::holds_alternative<std::string>(platform::readJob("no job")));
+}
+
+// Whatever bytes come, a decoder answers and the process goes on.
+BOOST_AUTO_TEST_CASE(spoilt_bytes_harm_nothing)
+{
+    std::mt19937 random(11);
+    for (int i = 0; i < 20'000; i++) {
+        platform::readWorker("w", spoil(worker, random));
+        platform::readConfiguration(spoil(configuration, random));
+        platform::readJob(spoil(job, random));
+        platform::readTaskName(spoil("5c0e7a21d94b36f8.0.1.17", random));
+        platform::readKeyed(spoil(platform::keyedRecord("key", "value"), random));
+    }
+}
+
+BOOST_AUTO_TEST_CASE(task_names_go_both_ways)
+{
+    task_ref task { "5c0e7a21d94b36f8", 3, 1, 17 };
+    BOOST_TEST(platform::taskName(task) == "5c0e7a21d94b36f8.3.1.17");
+    BOOST_TEST((platform::readTaskName("5c0e7a21d94b36f8.3.1.17") == task));
+    for (const char* bad : { "", "a", "a.b", "a.1.2", ".1.2.3", "a.1.2.", "a.x.2.3" })
+        BOOST_TEST(!platform::readTaskName(bad), bad);
+}
+
+BOOST_AUTO_TEST_CASE(settings_are_checked_as_a_whole)
+{
+    BOOST_TEST(static_cast<bool>(parseSchedulerSettings(settings())));
+    json bad = settings();
+    bad.erase("dataCentre");
+    bad["callers"] = "nowhere";
+    bad["store"]["partitions"] = 0;
+    size_t faults = 0;
+    boost::leaf::try_handle_all(
+        [&]() -> result<void> {
+            BOOST_LEAF_CHECK(parseSchedulerSettings(bad));
+            return {};
+        },
+        [&](const e_scheduler_settings& error) { faults = error.faults.size(); }, [] {});
+    BOOST_TEST(faults == 3);
+}
+
+BOOST_AUTO_TEST_CASE(the_template_yields_settings)
+{
+    std::ifstream in(CAMPHORWELL_SOURCE_DIRECTORY "/deploy/settings.json.template");
+    std::string text((std::istreambuf_iterator<char>(in)), std::istreambuf_iterator<char>());
+    BOOST_REQUIRE(!text.empty());
+    const std::map<std::string, std::string> values { { "NodeName|json", "\"n\"" }, { "Zone|json", "\"z\"" },
+        { "Ip|json", "\"10.0.0.1\"" }, { "Listen.Front|json", "\"10.0.0.1:1\"" },
+        { "Listen.Ready|json", "\"10.0.0.1:2\"" }, { "platform.Address|json", "\"10.0.0.2:3\"" },
+        { "Advice", "" } };
+    for (size_t at = text.find("{{"); at != std::string::npos; at = text.find("{{")) {
+        size_t end = text.find("}}", at);
+        auto found = values.find(text.substr(at + 2, end - at - 2));
+        text.replace(at, end + 2 - at, found == values.end() ? "1000000" : found->second);
+        if (size_t port = text.find("\"internalPort\": 1000000"); port != std::string::npos)
+            text.replace(port, 23, "\"internalPort\": 7720");
+    }
+    BOOST_TEST(static_cast<bool>(parseSchedulerSettings(json::parse(text))));
+}
+
+// The platform's names stay in platform/ and in the deploy files.
+BOOST_AUTO_TEST_CASE(no_name_of_the_platform_outside_its_folder)
+{
+    const std::vector<std::string> names { "FencingToken", "run-start", "run-stop", "\"/hold\"", "log-append",
+        "log-read", "log-newest", "MemMb", "EstimateMs", "LastSeen", "\"DeadlineMs\"", "Expect-Instance",
+        "Time-Left-Ms", "PathPrefix", "MaxAttempts", "TargetLatencyMs", "keyed.op", "keyed.servers",
+        "AntiAffinity", "LongRunning", "Checkpointing", "machine-move", "machine-upkeep", "/advise" };
+    namespace fs = std::filesystem;
+    for (const auto& entry : fs::recursive_directory_iterator(CAMPHORWELL_SOURCE_DIRECTORY "/src")) {
+        if (!entry.is_regular_file())
+            continue;
+        std::ifstream in(entry.path());
+        std::string text((std::istreambuf_iterator<char>(in)), std::istreambuf_iterator<char>());
+        for (const auto& name : names)
+            BOOST_TEST(text.find(name) == std::string::npos, entry.path().string() << " holds " << name);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(the_folder_stays_small)
+{
+    namespace fs = std::filesystem;
+    long lines = 0;
+    for (const auto& entry : fs::recursive_directory_iterator(CAMPHORWELL_SOURCE_DIRECTORY "/platform")) {
+        if (!entry.is_regular_file())
+            continue;
+        std::ifstream in(entry.path());
+        lines += std::count(std::istreambuf_iterator<char>(in), std::istreambuf_iterator<char>(), '\n');
+    }
+    BOOST_TEST(lines < 1500);
+}
