A worker that comes back gets a higher token

Change: lives count on over workers that are met anew. Measured: a directed test that fails without the change; jobs_test passes.

--- a/src/jobs/process/cell_model.h
+++ b/src/jobs/process/cell_model.h
@@ -190,6 +190,7 @@
     ms beganAt = 0;
     ms now = 0;
     ms weighedAt = 0;
+    uint32_t leastLife = 0; // Of workers that are met anew.
     int64_t unixOffset = 0; // Time of day less `now`.
     uint64_t nextSequence = 0;
 
--- a/src/jobs/process/cell_workers.cpp
+++ b/src/jobs/process/cell_workers.cpp
@@ -55,6 +55,7 @@
     if (!held) {
         held = std::make_unique<worker_state>();
         held->info.id = id;
+        held->life = leastLife;
     }
     return *held;
 }
@@ -99,9 +100,11 @@
         bool silent = !worker.adopted || now - worker.answeredAt > settings.maxLeaseMs;
         bool writing = std::any_of(
             writingEnds.begin(), writingEnds.end(), [&](const auto& each) { return each.first == &worker; });
-        if (!worker.listed && worker.placed.empty() && silent && !worker.looking && !writing)
+        if (!worker.listed && worker.placed.empty() && silent && !worker.looking && !writing) {
+            // Should it come back, orders to it count as to a later life.
+            leastLife = std::max(leastLife, worker.life + 1);
             it = workers.erase(it);
-        else
+        } else
             ++it;
     }
 }
--- a/src/jobs/request/codec.cpp
+++ b/src/jobs/request/codec.cpp
@@ -135,7 +135,7 @@
 
 uint64_t orderToken(uint64_t ownerToken, uint32_t life)
 {
-    constexpr uint64_t livesAtMost = 4096;
+    constexpr uint64_t livesAtMost = 1 << 20;
     return ownerToken * livesAtMost + std::min<uint64_t>(life, livesAtMost - 1);
 }
 
--- a/standins/fleet_models.cpp
+++ b/standins/fleet_models.cpp
@@ -146,6 +146,8 @@
 
 void model_worker::revive(ms now)
 {
+    if (up && m_bornAt != 0)
+        return;
     up = true;
     m_bornAt = now;
     record.bornUnixMs = now + 1;
--- a/tests/jobs/jobs_test.cpp
+++ b/tests/jobs/jobs_test.cpp
@@ -289,6 +289,33 @@
     BOOST_TEST(again[0].run == 2);
 }
 
+// A worker that was forgotten and came back was ordered under its first token again: late orders to its
+// earlier life were obeyed, and its own refusals were taken for those of another owner (worlds 15460 and
+// 18055).
+BOOST_AUTO_TEST_CASE(a_worker_that_comes_back_gets_a_higher_token)
+{
+    driven d;
+    d.scheduler.setWorker(worker("w"), d.now);
+    d.scheduler.begin(d.now, d.now);
+    d.step();
+    auto first = d.take<look_action>();
+    BOOST_REQUIRE(!first.empty());
+    d.report("w", {});
+    d.scheduler.removeWorker("w", d.now);
+    for (int i = 0; i < 500; i++) {
+        d.now += 25;
+        d.step();
+        for (const auto& look : d.take<look_action>())
+            d.scheduler.onLookFailed(look, order_outcome::no_answer, d.now);
+    }
+    d.scheduler.setWorker(worker("w"), d.now);
+    d.step();
+    auto again = d.take<look_action>();
+    BOOST_REQUIRE(!again.empty());
+    BOOST_TEST(orderToken(5, again[0].life) > orderToken(5, first[0].life));
+    BOOST_TEST(orderToken(6, 0) > orderToken(5, again[0].life));
+}
+
 BOOST_AUTO_TEST_CASE(one_instance_at_a_time_owns_a_cell)
 {
     ownership_settings settings;
