Answers cost what they concern; strain lines kept for each worker; looks bounded in rate

Cause: each answer of a worker ran the whole turn over all workers, and each filler placed computed the strain of every serving task anew; at 350 and 490 workers the owner used 0.31 and 0.39 cores and quick jobs waited for it.

--- a/src/jobs/process/cell.cpp
+++ b/src/jobs/process/cell.cpp
@@ -85,6 +85,13 @@
     }
 }
 
+void cell::react(ms now)
+{
+    m_model->now = now;
+    if (m_model->placeNeeded)
+        m_model->placeWaiting();
+}
+
 std::string cell::encodeLearnt() const { return m_model->pressure.encode(); }
 void cell::restoreLearnt(const std::string& bytes) { m_model->pressure.restore(bytes); }
 
--- a/src/jobs/process/cell.h
+++ b/src/jobs/process/cell.h
@@ -86,7 +86,10 @@
     std::string encodeLearnt() const;
     void restoreLearnt(const std::string& bytes);
 
+    // The periodic part: looks, leases, due occurrences, pace, placing.
     void tick(ms now, int64_t unixMs);
+    // After answers: places what has become possible.
+    void react(ms now);
     std::vector<action> takeActions();
     // A worker has seen a higher token: somebody else owns the cell.
     bool fenced() const;
--- a/src/jobs/process/cell_placing.cpp
+++ b/src/jobs/process/cell_placing.cpp
@@ -17,6 +17,7 @@
 
 namespace {
 
+    constexpr ms placeEveryMs = 15; // What comes within it is placed together.
     constexpr ms orderEveryMs = 400; // Period in which deadlines that have passed change the order.
     constexpr double servingUse = 0.5; // Share of their booked processors that lasting tasks use.
     constexpr double fillerRoom = 0.9; // A filler needs this share of its processors left over.
@@ -86,11 +87,10 @@
 }
 
 // Whether the step may run there at all, room left aside.
-bool cell_model::allowed(const step_run& step, const worker_state& worker) const
+bool cell_model::allowed(const step_run& step, const queue_policy& policy, const worker_state& worker) const
 {
     const step_spec& spec = *step.spec;
-    const queue_policy* policy = policyOf(*step.job);
-    if (!policy || policy->service != worker.info.service)
+    if (policy.service != worker.info.service)
         return false;
     const auto& labels = worker.info.labels;
     if (!spec.requiredLabel.empty()
@@ -98,7 +98,7 @@
         return false;
     if (spec.maxPerWorker > 0 && copiesOn(step, worker) >= spec.maxPerWorker)
         return false;
-    if (!policy->advised)
+    if (!policy.advised)
         return true;
     auto found = step.tickets.find(worker.info.id);
     return found != step.tickets.end() && found->second.until > now;
@@ -133,6 +133,9 @@
 worker_state* cell_model::chooseWorker(step_run& step, const task_run& task, const std::string* rack)
 {
     const step_spec& spec = *step.spec;
+    const queue_policy* policy = policyOf(*step.job);
+    if (!policy)
+        return nullptr;
     resources need = bookingOf(spec);
     ms waited = now - task.waitingSince;
     worker_state* best = nullptr;
@@ -148,7 +151,7 @@
             if (!settles)
                 continue;
         }
-        if (!allowed(step, worker))
+        if (!allowed(step, *policy, worker))
             continue;
         double score = scoreOf(step, task, worker);
         if (!best || score > bestScore) {
@@ -253,8 +256,9 @@
 
 void cell_model::placeWaiting()
 {
-    if (!begun || !mayGrant)
+    if (!begun || !mayGrant || now - placedAt < placeEveryMs)
         return;
+    placedAt = now;
     placeNeeded = false;
     if (now - orderedAt >= orderEveryMs) {
         orderedAt = now;
--- a/src/jobs/process/cell_sharing.cpp
+++ b/src/jobs/process/cell_sharing.cpp
@@ -51,20 +51,26 @@
 // targets. With `added` cores of a filler more, only the serving tasks that it disturbs count.
 double cell_model::excessStrain(const worker_state& worker, const std::string& filler, double added) const
 {
-    double worst = -1;
-    for (const auto& serving : worker.serving) {
-        double perCore = added > 0 ? pressure.perCore(filler, serving.image) : 0;
-        if (added > 0 && perCore < harmlessPerCore)
-            continue;
-        double expected = serving.ownLoad + pressOn(serving.image, worker) + perCore * added;
-        worst = std::max(worst, expected - pressure.limit(serving.image));
+    auto [cached, fresh] = worker.strainLines.try_emplace(filler);
+    if (fresh) {
+        for (const auto& serving : worker.serving) {
+            double perCore = filler.empty() ? 0 : pressure.perCore(filler, serving.image);
+            if (!filler.empty() && perCore < harmlessPerCore)
+                continue;
+            double expected = serving.ownLoad + pressOn(serving.image, worker);
+            cached->second.push_back({ expected - pressure.limit(serving.image), perCore });
+        }
     }
+    double worst = -1;
+    for (const strain_line& each : cached->second)
+        worst = std::max(worst, each.atNone + each.perCore * added);
     return worst;
 }
 
 void cell_model::sample(worker_state& worker)
 {
     worker.serving.clear();
+    worker.strainLines.clear();
     worker.fillers.forgetBefore(now - historyMs);
     auto beside = worker.fillers.between(worker.answeredAt - sampleMs, worker.answeredAt);
     bool over = false;
@@ -96,6 +102,7 @@
 void cell_model::setPace(worker_state& worker, const placement& at, task_copy& copy, int percent)
 {
     worker.fillers.pace(keyOf(at), percent, now + settings.paceMs);
+    worker.strainLines.clear();
     copy.pace = percent;
     if (percent > evictPercent)
         copy.slowSince = 0;
@@ -116,11 +123,13 @@
     if (!spec.filler || worker.serving.empty())
         return;
     worker.fillers.pace(keyOf(at), 0, now);
+    worker.strainLines.clear();
     int percent = 100;
     while (percent > firstPaceLeast
         && excessStrain(worker, spec.image, coresOf(spec) * percent / 100) > -raiseTo)
         percent -= paceStep;
     worker.fillers.pace(keyOf(at), 100, now);
+    worker.strainLines.clear();
     if (percent < 100)
         setPace(worker, at, copy, percent);
 }
--- a/src/jobs/process/cell_workers.cpp
+++ b/src/jobs/process/cell_workers.cpp
@@ -16,6 +16,7 @@
     constexpr double clockError = 1.03; // A worker's clock may be 2% slow.
     constexpr ms lapseSlackMs = 300; // Between a lease's end and the kill, and the delay of answers.
     constexpr ms stopAgainMs = 700; // A stop without an answer is repeated after this.
+    constexpr ms looksPerSecond = 500; // At all workers together, ends apart.
     constexpr ms lookAgainMs = 250; // After a look that failed, times the failures in a row.
     constexpr ms lookAgainMostMs = 1000;
     constexpr ms unacknowledgedMs = 300; // Between looks while ends wait for their record.
@@ -98,9 +99,13 @@
     for (auto it = workers.begin(); it != workers.end();) {
         worker_state& worker = *it->second;
         bool silent = !worker.adopted || now - worker.answeredAt > settings.maxLeaseMs;
+        if (worker.listed) {
+            ++it;
+            continue;
+        }
         bool writing = std::any_of(
             writingEnds.begin(), writingEnds.end(), [&](const auto& each) { return each.first == &worker; });
-        if (!worker.listed && worker.placed.empty() && silent && !worker.looking && !writing) {
+        if (worker.placed.empty() && silent && !worker.looking && !writing) {
             // Should it come back, orders to it count as to a later life.
             leastLife = std::max(leastLife, worker.life + 1);
             it = workers.erase(it);
@@ -113,34 +118,41 @@
 {
     dropUnlisted();
     for (auto& [id, held] : workers) {
-        worker_state& worker = *held;
-        if (!worker.placed.empty() && leaseSurelyOver(worker))
-            loseAll(worker, "lease_over");
-        // A look comes back at once while ends are listed that are not acknowledged.
-        bool early = worker.processed != worker.acknowledged && now - worker.answeredAt < unacknowledgedMs;
-        if (worker.looking || now < worker.lookAt || early || worker.info.address.empty())
-            continue;
-        if (!worker.listed && worker.placed.empty())
-            continue;
-        for (placement& each : worker.placed) {
-            task_copy* copy = findCopy(each);
-            if (copy && copy->phase == copy_phase::doomed && copy->ordered && copy->stopAnsweredAt == 0
-                && now - copy->stopSentAt > stopAgainMs)
-                sendStop(*each.step, each.index, *copy);
-        }
-        look_action look { id, worker.acknowledged, std::nullopt, 0, worker.life };
-        if (worker.adopted) {
-            bool shared = worker.servingCpu > 0 && worker.fillerCpu > 0;
-            look.waitMs = shared ? settings.sharedLookWaitMs : settings.lookWaitMs;
-            // A worker that does not answer gets no longer leases, so that its last one is known to run out.
-            if (mayGrant && worker.failedLooks == 0) {
-                look.leaseUntilWorkerMs = worker.workerNow(now) + settings.leaseMs;
-                worker.leaseUntilWorkerMs = std::max(worker.leaseUntilWorkerMs, *look.leaseUntilWorkerMs);
-            }
+        if (!held->placed.empty() && leaseSurelyOver(*held))
+            loseAll(*held, "lease_over");
+        lookAt(*held);
+    }
+}
+
+void cell_model::lookAt(worker_state& worker)
+{
+    // A look comes back at once while ends are listed that are not acknowledged.
+    bool early = worker.processed != worker.acknowledged && now - worker.answeredAt < unacknowledgedMs;
+    if (worker.looking || now < worker.lookAt || early || worker.info.address.empty())
+        return;
+    if (!worker.listed && worker.placed.empty())
+        return;
+    for (placement& each : worker.placed) {
+        task_copy* copy = findCopy(each);
+        if (copy && copy->phase == copy_phase::doomed && copy->ordered && copy->stopAnsweredAt == 0
+            && now - copy->stopSentAt > stopAgainMs)
+            sendStop(*each.step, each.index, *copy);
+    }
+    look_action look { worker.info.id, worker.acknowledged, std::nullopt, 0, worker.life };
+    if (worker.adopted) {
+        bool shared = worker.servingCpu > 0 && worker.fillerCpu > 0;
+        // The more workers, the less often each is looked at, so that the rate stays bounded.
+        ms paced = static_cast<ms>(workers.size()) * 1000 / looksPerSecond;
+        look.waitMs = std::clamp(paced, shared ? settings.sharedLookWaitMs : settings.lookWaitMs,
+            std::max(settings.lookWaitMs, settings.sharedLookWaitMs));
+        // A worker that does not answer gets no longer leases, so that its last one is known to run out.
+        if (mayGrant && worker.failedLooks == 0) {
+            look.leaseUntilWorkerMs = worker.workerNow(now) + settings.leaseMs;
+            worker.leaseUntilWorkerMs = std::max(worker.leaseUntilWorkerMs, *look.leaseUntilWorkerMs);
         }
-        worker.looking = true;
-        actions.push_back(look);
     }
+    worker.looking = true;
+    actions.push_back(look);
 }
 
 bool cell_model::leaseSurelyOver(const worker_state& worker) const
@@ -261,6 +273,7 @@
         noteRunning(worker, each);
     if (report.ended.size() < mostEndsListed)
         noteAbsent(worker, sentAt);
+    lookAt(worker);
 }
 
 void cell_model::noteRunning(worker_state& worker, const running_task& seen)
@@ -397,6 +410,7 @@
     const step_spec& spec = *step.spec;
     worker.booked = worker.booked + bookingOf(spec);
     worker.fillerCpu += spec.filler ? spec.cpuMilli : 0;
+    worker.strainLines.clear();
     worker.fillersChangedAt = spec.filler ? now : worker.fillersChangedAt;
     worker.servingCpu += spec.lasting ? spec.cpuMilli : 0;
     worker.placed.push_back({ &step, index, run });
@@ -423,6 +437,7 @@
     const step_spec& spec = *step.spec;
     worker.booked = worker.booked - bookingOf(spec);
     worker.fillerCpu -= spec.filler ? spec.cpuMilli : 0;
+    worker.strainLines.clear();
     worker.fillers.end({ &step, index, run }, now);
     worker.fillersChangedAt = spec.filler ? now : worker.fillersChangedAt;
     worker.servingCpu -= spec.lasting ? spec.cpuMilli : 0;
--- a/src/scheduler/process/cell_host_work.cpp
+++ b/src/scheduler/process/cell_host_work.cpp
@@ -52,7 +52,7 @@
         if (!owned || !begun)
             return;
         owned->setMayGrant(ownership.mayGrant(bootNow()));
-        owned->tick(bootNow(), unixNow());
+        owned->react(bootNow());
         pump();
     });
 }
--- a/tests/jobs/jobs_test.cpp
+++ b/tests/jobs/jobs_test.cpp
@@ -61,8 +61,10 @@
     {
         scheduler.setClock(now, now);
     }
+    // One turn of the loop; work is placed at most every few milliseconds.
     void step(bool durable = true)
     {
+        now += 20;
         scheduler.setMayGrant(true);
         scheduler.tick(now, now);
         collect();
