--- a/src/scheduler/process/daemon.cpp
+++ b/src/scheduler/process/daemon.cpp
@@ -9,6 +9,8 @@
     constexpr ms leaveMarginMs = 700; // Before the end of the grace period the process is gone.
     constexpr ms leaveCheckMs = 100;
     constexpr ms figuresEveryMs = 5000;
+    constexpr ms storeCheckMs = 200;
+    constexpr ms storeLostMs = 1600; // Without an answer for so long, while reads wait for at most a second.
 } // namespace
 
 struct scheduler_daemon::state {
@@ -31,6 +33,19 @@
             each->setQueues(catalogue.queues());
     }
 
+    // Tells when the store is lost and when it is back.
+    void checkStore()
+    {
+        ms silent = bootNow() - context.storeOkAt;
+        if (storeLostAt == 0 && context.storeOkAt != 0 && silent > storeLostMs) {
+            storeLostAt = context.storeOkAt;
+            log.writeAlways(log_line("store_lost").add("silent_ms", silent));
+        } else if (storeLostAt != 0 && silent < storeLostMs) {
+            log.writeAlways(log_line("store_back").add("away_ms", context.storeOkAt - storeLostAt));
+            storeLostAt = 0;
+        }
+    }
+
     void checkLeft()
     {
         ms spent = bootNow() - leftAt;
@@ -53,6 +68,7 @@
     std::vector<std::unique_ptr<cell_host>> cells;
     front calls;
     ms leftAt = 0;
+    ms storeLostAt = 0; // When the store last answered before it was lost; 0: it answers.
 };
 
 scheduler_daemon::scheduler_daemon(event_loop& loop, scheduler_settings settings)
@@ -73,6 +89,7 @@
     s.catalogue.start();
     for (auto& each : s.cells)
         each->start();
+    s.context.loop.every(storeCheckMs, [&s] { s.checkStore(); });
     s.context.loop.every(figuresEveryMs, [&s] {
         log_line line("figures");
         for (const auto& [name, value] : s.counts)
--- a/src/scheduler/request/front.cpp
+++ b/src/scheduler/request/front.cpp
@@ -113,7 +113,8 @@
                                 .add("queue", call->queue)
                                 .add("status", status)
                                 .add("why", why)
-                                .add("took_ms", bootNow() - call->receivedAt));
+                                .add("took_ms", bootNow() - call->receivedAt)
+                                .add("store_age_ms", bootNow() - m_context.storeOkAt));
     call->reply->send(status, headers, body);
 }
 
@@ -192,52 +193,55 @@
         else
             answer(call, 410, "", "no_such_job");
     };
-    cell_host& cell = *m_cells[static_cast<size_t>(cellOf(call->id))];
-    if (auto known = cell.stateOf(call->id))
+    if (auto known = cellOfCall(call).stateOf(call->id))
         return give(*known);
-    askOwner(call, "/state/" + call->id, [this, call, give](const http_response& got) {
-        if (got.status == 410) {
+    askOwner(call, "/state/" + call->id, &front::tellState, [this, call, give](const http_response& got) {
+        if (got.status == 410)
             give({});
-            return true;
-        }
-        if (got.status == 200)
+        else if (got.status == 200)
             answer(call, 200, got.body, "state_of_owner");
-        return got.status == 200;
     });
 }
 
 void front::tellPending(const call_ptr& call)
 {
-    if (auto count = m_cells.front()->pending(call->queue))
+    if (auto count = cellOfCall(call).pending(call->queue))
         return answer(call, 200, platform::writePending(*count), "pending");
-    askOwner(call, "/pending/" + call->queue, [this, call](const http_response& got) {
+    askOwner(call, "/pending/" + call->queue, &front::tellPending, [this, call](const http_response& got) {
         if (got.status == 200)
             answer(call, 200, got.body, "pending_of_owner");
-        return got.status == 200;
     });
 }
 
-// Asks the owner of the call's cell until `take` is content or the caller's time is over.
-void front::askOwner(
-    const call_ptr& call, const std::string& path, std::function<bool(const http_response&)> take)
+cell_host& front::cellOfCall(const call_ptr& call)
+{
+    return *m_cells[call->id.empty() ? 0 : static_cast<size_t>(cellOf(call->id))];
+}
+
+// Asks the owner of the call's cell, and lets `again` try anew until the caller's time is over. This instance
+// may have become the owner itself meanwhile.
+void front::askOwner(const call_ptr& call, const std::string& path, void (front::*again)(const call_ptr&),
+    std::function<void(const http_response&)> take)
 {
-    if (call->answered)
-        return;
     if (call->reply->callerGone())
         return answer(call, 503, "", "caller_gone");
     if (bootNow() + askAgainMs >= call->deadline)
         return answer(call, 503, "", "no_owner");
-    auto again = [this, call, path, take] {
-        m_context.loop.after(askAgainMs, [this, call, path, take] { askOwner(call, path, take); });
+    auto retry = [this, call, again] {
+        m_context.loop.after(askAgainMs, [this, call, again] {
+            if (!call->answered)
+                (this->*again)(call);
+        });
     };
-    cell_host& cell = *m_cells[call->id.empty() ? 0 : static_cast<size_t>(cellOf(call->id))];
-    auto owner = cell.ownerAddress();
+    auto owner = cellOfCall(call).ownerAddress();
     if (!owner)
-        return again();
-    instanceAt(*owner).call("GET", path, {}, {}, askTimeoutMs, [again, take](const http_response& got) {
-        if (!take(got))
-            again();
-    });
+        return retry();
+    instanceAt(*owner).call(
+        "GET", path, {}, {}, askTimeoutMs, [call, retry, take = std::move(take)](const http_response& got) {
+            take(got);
+            if (!call->answered)
+                retry();
+        });
 }
 
 void front::onInstance(const http_request& asked, const std::shared_ptr<http_reply>& reply)
--- a/src/scheduler/scheduler.h
+++ b/src/scheduler/scheduler.h
@@ -168,7 +168,9 @@
     void cancel(const call_ptr&);
     void tellState(const call_ptr&);
     void tellPending(const call_ptr&);
-    void askOwner(const call_ptr&, const std::string& path, std::function<bool(const http_response&)>);
+    cell_host& cellOfCall(const call_ptr&);
+    void askOwner(const call_ptr&, const std::string& path, void (front::*again)(const call_ptr&),
+        std::function<void(const http_response&)> take);
     void answer(const call_ptr&, int status, const std::string& body, std::string_view why);
     bool ready() const;
     int cellOf(const job_id&) const;
--- a/tests/platform/platform_test.cpp
+++ b/tests/platform/platform_test.cpp
@@ -6,6 +6,7 @@
 #include <filesystem>
 #include <fstream>
 #include <random>
+#include <set>
 
 using namespace camphorwell;
 using nlohmann::json;
@@ -155,6 +156,47 @@
     BOOST_TEST(static_cast<bool>(parseSchedulerSettings(json::parse(text))));
 }
 
+// The page for those on call names every event of the log, and nothing else.
+BOOST_AUTO_TEST_CASE(the_on_call_page_names_every_event)
+{
+    namespace fs = std::filesystem;
+    std::set<std::string> written;
+    const std::string mark = "log_line(\"";
+    for (const char* folder : { "/src/jobs", "/src/scheduler" }) {
+        for (const auto& entry :
+            fs::recursive_directory_iterator(CAMPHORWELL_SOURCE_DIRECTORY + std::string(folder))) {
+            if (!entry.is_regular_file())
+                continue;
+            std::ifstream in(entry.path());
+            std::string text((std::istreambuf_iterator<char>(in)), std::istreambuf_iterator<char>());
+            for (size_t at = text.find(mark); at != std::string::npos; at = text.find(mark, at + 1))
+                written.insert(
+                    text.substr(at + mark.size(), text.find('"', at + mark.size()) - at - mark.size()));
+        }
+    }
+    // Written as `log_line line("figures")`.
+    written.insert("figures");
+    std::ifstream in(CAMPHORWELL_SOURCE_DIRECTORY "/docs/OPERATIONS.md");
+    std::set<std::string> documented;
+    std::string line;
+    bool table = false;
+    while (std::getline(in, line)) {
+        table = line.starts_with("| event") || (table && line.starts_with("|"));
+        if (!table)
+            continue;
+        std::string cell = line.substr(0, line.find('|', 1));
+        for (size_t at = cell.find('`'); at != std::string::npos; at = cell.find('`', at + 1)) {
+            size_t end = cell.find('`', at + 1);
+            documented.insert(cell.substr(at + 1, end - at - 1));
+            at = end;
+        }
+    }
+    for (const auto& each : written)
+        BOOST_TEST(documented.contains(each), each << " is not on the page");
+    for (const auto& each : documented)
+        BOOST_TEST(written.contains(each), each << " is never written");
+}
+
 // The platform's names stay in platform/ and in the deploy files.
 BOOST_AUTO_TEST_CASE(no_name_of_the_platform_outside_its_folder)
 {
