--- a/src/jobs/process/cell_placing.cpp
+++ b/src/jobs/process/cell_placing.cpp
@@ -37,19 +37,31 @@
     constexpr ms adviceAgainMs = 500;
     constexpr ms freshMs = 1500; // A worker must have answered so recently, beyond the wait of a look.
 
-    // A size for which no worker of a service had room.
+    // A size for which no worker of a service had room. For a filler the strain that its image adds counts
+    // too, and how long it has waited: after a while it takes what it refused before.
     struct full_shape {
         const step_spec* spec = nullptr;
         const queue_policy* policy = nullptr;
+        int patience = 0;
 
-        bool covers(const step_spec& asked, const queue_policy& by) const
+        bool covers(const step_spec& asked, const queue_policy& by, int patienceSpent) const
         {
             return policy->service == by.service && spec->filler == asked.filler
                 && spec->cpuMilli <= asked.cpuMilli && spec->memoryMb <= asked.memoryMb
-                && spec->accelerators <= asked.accelerators;
+                && spec->accelerators <= asked.accelerators
+                && (!asked.filler || (spec->image == asked.image && patienceSpent <= patience));
         }
     };
 
+    // How far the step that has waited longest has come: 0 at first, 1 after `patienceMs`, 2 at last.
+    int patienceSpent(const step_run& step, ms now)
+    {
+        ms waited = 0;
+        for (int index : step.waiting)
+            waited = std::max(waited, now - step.tasks[static_cast<size_t>(index)].waitingSince);
+        return (waited >= patienceMs) + (waited >= lastPatienceMs);
+    }
+
     int64_t leftForFillers(const worker_state& worker)
     {
         auto unused = static_cast<int64_t>(static_cast<double>(worker.servingCpu) * (1 - servingUse));
@@ -276,14 +288,15 @@
         order.push_back(step);
     for (step_run* step : order) {
         const queue_policy* policy = policyOf(*step->job);
+        int spent = step->spec->filler ? patienceSpent(*step, now) : 0;
         if (!policy || std::any_of(full.begin(), full.end(), [&](const full_shape& each) {
-                return each.covers(*step->spec, *policy);
+                return each.covers(*step->spec, *policy, spent);
             }))
             continue;
         bool constrained = !step->spec->requiredLabel.empty() || step->spec->maxPerWorker > 0
             || step->spec->gang || policy->advised;
         if (!placeStep(*step) && !constrained)
-            full.push_back({ step->spec, policy });
+            full.push_back({ step->spec, policy, spent });
         if (step->waiting.empty())
             unqueue(*step);
     }
--- a/src/jobs/version/ownership.cpp
+++ b/src/jobs/version/ownership.cpp
@@ -57,7 +57,9 @@
         return step::none;
     bool free = !m_current || m_current->released || m_current->instance == m_self.instance;
     ms since = std::max(m_heardAt, *m_readSince);
-    ms wait = free ? m_settings.claimDelayMs : m_settings.silenceMs + m_settings.claimDelayMs;
+    // Taking over a large cell on a small machine takes longer than the silence of an owner at work.
+    ms silence = m_current && m_current->token == 0 ? m_settings.takeOverMs : m_settings.silenceMs;
+    ms wait = m_settings.claimDelayMs + (free ? 0 : silence);
     if (now - since < wait)
         return step::none;
     m_appending = true;
--- a/src/jobs/version/ownership.h
+++ b/src/jobs/version/ownership.h
@@ -24,6 +24,7 @@
 struct ownership_settings {
     ms proveEveryMs = 600; // Period of an owner's proofs.
     ms silenceMs = 1800; // Without a proof for so long an owner is replaced; three missed proofs.
+    ms takeOverMs = 6000; // A claim without a proof yet may take so long to take the cell over.
     ms grantForMs = 6000; // An owner grants leases for so long after the sending of its last proof.
     ms claimDelayMs = 0; // This instance's own delay, at most a few hundred.
 };
--- a/src/scheduler/process/settings.cpp
+++ b/src/scheduler/process/settings.cpp
@@ -18,6 +18,7 @@
         "readiness": { "type": "string", "pattern": "^[0-9.]+:[0-9]+$" },
         "internalPort": { "type": "integer", "minimum": 1, "maximum": 65535 },
         "advice": { "type": "string", "default": "" },
+        "processors": { "type": "number", "minimum": 0.001, "default": 1 },
         "cells": { "type": "integer", "minimum": 1, "maximum": 64, "default": 1 },
         "graceSeconds": { "type": "number", "minimum": 0.5, "default": 6 },
         "store": {
@@ -44,7 +45,9 @@
       }
     })";
 
-    constexpr ms claimSpreadMs = 300; // Instances claim at different times within this.
+    constexpr ms claimSpreadMs = 100; // Instances claim at different times within this.
+    constexpr ms claimSlowestMs = 150; // An instance with hardly any processor time waits so much longer.
+    constexpr double fullClaimShare = 0.5; // Of a core; with this or more there is no such wait.
     constexpr ms leaseMarginMs = 200; // Below the worker's own bound, so that it is never shortened.
 
 } // namespace
@@ -77,7 +80,10 @@
     out.cell.remoteFactor = workers.value("remoteFactor", 1.5);
     out.cell.keepMs = given["keepSeconds"].get<ms>() * 1000;
     out.cell.priorGrantMs = out.ownership.grantForMs;
-    out.ownership.claimDelayMs = static_cast<ms>(stableHash(out.instance) % claimSpreadMs);
+    // Among instances that could claim a cell, those with more processor time come first.
+    double share = std::min(given["processors"].get<double>(), fullClaimShare);
+    out.ownership.claimDelayMs = static_cast<ms>(stableHash(out.instance) % claimSpreadMs)
+        + static_cast<ms>((1 - share / fullClaimShare) * claimSlowestMs);
     return out;
 }
 
