--- a/src/scheduler/process/settings.cpp
+++ b/src/scheduler/process/settings.cpp
@@ -19,7 +19,7 @@
         "internalPort": { "type": "integer", "minimum": 1, "maximum": 65535 },
         "advice": { "type": "string", "default": "" },
         "processors": { "type": "number", "minimum": 0.001, "default": 1 },
-        "cells": { "type": "integer", "minimum": 1, "maximum": 64, "default": 1 },
+        "cells": { "type": "integer", "minimum": 1, "maximum": 1, "default": 1 },
         "graceSeconds": { "type": "number", "minimum": 0.5, "default": 6 },
         "store": {
           "type": "object",
