Fillers that an earlier owner paused are let go, also where no serving task is left

Ruled out: the wait for an undisturbed worker (the task's step had not opened, since the paused one was before it).

--- a/src/jobs/process/cell_sharing.cpp
+++ b/src/jobs/process/cell_sharing.cpp
@@ -242,8 +242,9 @@
     weighWorkers();
     for (auto& [id, held] : workers) {
         worker_state& worker = *held;
-        if (!worker.adopted || worker.servingCpu == 0 || now - worker.sampledAt < sampleMs
-            || worker.answeredAt <= worker.sampledAt)
+        bool fresh
+            = worker.adopted && now - worker.sampledAt >= sampleMs && worker.answeredAt > worker.sampledAt;
+        if (!fresh || (worker.servingCpu == 0 && worker.fillerCpu == 0))
             continue;
         worker.sampledAt = now;
         sample(worker);
--- a/src/jobs/process/cell_workers.cpp
+++ b/src/jobs/process/cell_workers.cpp
@@ -292,10 +292,14 @@
         return;
     }
     copy->listedIn = worker.reports;
-    if (copy->phase == copy_phase::ordered || copy->phase == copy_phase::restored) {
+    bool restored = copy->phase == copy_phase::restored;
+    if (copy->phase == copy_phase::ordered || restored) {
         copy->phase = copy_phase::running;
         copy->percentAt = now;
     }
+    // At what pace the earlier owner left it is not known.
+    if (restored && step->spec->filler)
+        setPace(worker, { step, seen.task.index, seen.run }, *copy, 100);
     if (seen.percent != copy->percent) {
         copy->percent = seen.percent;
         copy->percentAt = now;
--- a/tests/jobs/jobs_test.cpp
+++ b/tests/jobs/jobs_test.cpp
@@ -366,6 +366,86 @@
     BOOST_TEST(placed < older + 2'200);
 }
 
+// A filler that an earlier owner had paused stood still for ever, and so did one whose serving neighbours had
+// gone (trouble-1 seed 273839101475).
+BOOST_AUTO_TEST_CASE(a_paused_filler_is_let_go_by_the_next_owner)
+{
+    job_record filler = oneStep(1);
+    filler.spec.steps[0].filler = true;
+    filler.spec.steps[0].image = "f";
+    driven first;
+    first.scheduler.addJob("j", filler);
+    first.scheduler.setWorker(worker("w"), first.now);
+    first.scheduler.begin(first.now, first.now);
+    first.step();
+    first.report("w", {});
+    first.step();
+    auto starts = first.take<start_action>();
+    BOOST_REQUIRE(starts.size() == 1);
+    driven second;
+    for (const auto& [id, bytes] : first.progress)
+        second.scheduler.restoreProgress(id, bytes);
+    second.scheduler.addJob("j", filler);
+    second.scheduler.setWorker(worker("w"), second.now);
+    second.scheduler.begin(second.now, second.now);
+    second.step();
+    worker_report report;
+    report.running.push_back({ starts[0].task, 1, "", 10, 0 });
+    second.report("w", report);
+    second.step();
+    auto paces = second.take<pace_action>();
+    BOOST_REQUIRE(paces.size() == 1);
+    BOOST_TEST(paces[0].percent == 100);
+}
+
+BOOST_AUTO_TEST_CASE(a_paused_filler_is_let_go_when_no_serving_task_is_left)
+{
+    driven d;
+    job_record serving = oneStep(1);
+    serving.spec.steps[0].lasting = true;
+    serving.spec.steps[0].image = "s";
+    serving.spec.steps[0].tailTargetMs = 100;
+    job_record filler = oneStep(1);
+    filler.spec.steps[0].filler = true;
+    filler.spec.steps[0].image = "f";
+    d.scheduler.addJob("serving", serving);
+    d.scheduler.addJob("filler", filler);
+    d.scheduler.setWorker(worker("w"), d.now);
+    d.scheduler.begin(d.now, d.now);
+    d.step();
+    d.report("w", {});
+    d.step();
+    auto starts = d.take<start_action>();
+    BOOST_REQUIRE(starts.size() == 2);
+    worker_report report;
+    for (const auto& each : starts) {
+        d.scheduler.onStarted(each, order_outcome::done, d.now);
+        report.running.push_back({ each.task, 1, "", 50, each.task.job == "serving" ? 400 : 900 });
+    }
+    int pace = 100;
+    auto turns = [&](int count) {
+        for (int i = 0; i < count; i++) {
+            d.step();
+            d.report("w", report);
+            for (const auto& each : d.take<pace_action>())
+                pace = each.percent;
+        }
+    };
+    turns(70);
+    BOOST_TEST(pace == 0);
+    d.scheduler.cancel("serving");
+    worker_report after;
+    for (const auto& each : report.running) {
+        if (each.task.job == "filler")
+            after.running.push_back(each);
+        else
+            after.ended.push_back({ 1, each.task, 1, end_kind::stopped, "" });
+    }
+    report = after;
+    turns(70);
+    BOOST_TEST(pace == 100);
+}
+
 BOOST_AUTO_TEST_CASE(one_instance_at_a_time_owns_a_cell)
 {
     ownership_settings settings;
