--- a/src/jobs/process/cell_sharing.cpp
+++ b/src/jobs/process/cell_sharing.cpp
@@ -168,10 +168,11 @@
     }
     for (auto& [id, worker] : workers) {
         double suits = 0;
-        for (const auto& [image, cores] : demand) {
+        for (const auto& wanted : demand) {
+            const std::string& image = wanted.first;
             bool disturbs = std::any_of(worker->serving.begin(), worker->serving.end(),
                 [&](const auto& each) { return pressure.perCore(image, each.image) > suitsPerCore; });
-            suits += disturbs ? 0 : cores;
+            suits += disturbs ? 0 : wanted.second;
         }
         worker->suitedShare = total > 0 ? suits / total : 0;
     }
--- a/tests/jobs/world.cpp
+++ b/tests/jobs/world.cpp
@@ -181,7 +181,8 @@
     by->scheduler->setMayGrant(m_now - by->provedAt <= grantForMs);
     by->scheduler->tick(m_now, unixOrigin + m_now);
     pump(by);
-    for (auto& [id, job] : m_jobs) {
+    for (auto& [jobId, job] : m_jobs) {
+        const job_id& id = jobId;
         auto state = by->scheduler->stateOf(id);
         if (!state || *state != job_state::completed || job.completedShown)
             continue;
@@ -465,7 +466,8 @@
         broken("no owner at the end");
         return;
     }
-    for (const auto& [id, job] : m_jobs) {
+    for (const auto& [jobId, job] : m_jobs) {
+        const job_id& id = jobId;
         auto state = last.scheduler->stateOf(id);
         if (!state) {
             broken("not known at the end: " + id);
