--- a/src/net/net.h
+++ b/src/net/net.h
@@ -7,7 +7,7 @@
 //   server.listen("127.0.0.1", 8080);
 //   loop.run();
 //
-// HTTP servers use libevhtp, HTTP clients evhttp, and links between instances websocketpp on a bufferevent.
+// HTTP servers and clients use evhttp, and links between instances websocketpp on a bufferevent.
 // Bodies, queues and send buffers are bounded; what exceeds a bound is refused and counted.
 //
 // Units: durations in milliseconds, sizes in bytes. Errors: `listen` returns a leaf result with an
