--- a/tests/jobs/world.cpp
+++ b/tests/jobs/world.cpp
@@ -209,40 +209,40 @@
     if (by->writing)
         return;
     by->writing = by->scheduler->takeWrite(m_now);
-    if (by->writing) {
-        // An append is repeated until the store answers; a later owner's fence refuses it for good.
-        auto append = std::make_shared<std::function<void()>>();
-        *append = [this, by, append] {
-            if (!by->alive)
-                return;
-            if (!by->atStore || m_now < m_storeDownUntil) {
-                after(150, *append);
-                return;
-            }
-            if (by->token != m_token) {
-                by->alive = false;
-                return;
-            }
-            for (const auto& each : by->writing->records) {
-                if (each.bytes.empty())
-                    m_progress.erase(each.job);
-                else
-                    m_progress[each.job] = each.bytes;
-            }
-            after(pick(1, 30), [this, by] {
-                if (!by->alive)
-                    return;
-                by->writing.reset();
-                by->scheduler->onWritten(m_now);
-                pump(by);
-            });
-        };
-        after(pick(2, 20), *append);
-    }
+    if (by->writing)
+        after(pick(2, 20), [this, by] { append(by); });
     for (const action& each : by->scheduler->takeActions())
         perform(by, each);
 }
 
+// An append is repeated until the store answers; a later owner's fence refuses it for good.
+void world::append(const std::shared_ptr<owner>& by)
+{
+    if (!by->alive)
+        return;
+    if (!by->atStore || m_now < m_storeDownUntil) {
+        after(150, [this, by] { append(by); });
+        return;
+    }
+    if (by->token != m_token) {
+        by->alive = false;
+        return;
+    }
+    for (const auto& each : by->writing->records) {
+        if (each.bytes.empty())
+            m_progress.erase(each.job);
+        else
+            m_progress[each.job] = each.bytes;
+    }
+    after(pick(1, 30), [this, by] {
+        if (!by->alive)
+            return;
+        by->writing.reset();
+        by->scheduler->onWritten(m_now);
+        pump(by);
+    });
+}
+
 void world::call(const std::shared_ptr<owner>& by, const worker_id& id,
     std::function<order_outcome(model_worker&)> order, std::function<void(order_outcome)> answer)
 {
--- a/tests/jobs/world.h
+++ b/tests/jobs/world.h
@@ -57,6 +57,7 @@
     void takeOver();
     void tickOwner(const std::shared_ptr<owner>&);
     void pump(const std::shared_ptr<owner>&);
+    void append(const std::shared_ptr<owner>&);
     void perform(const std::shared_ptr<owner>&, const action&);
     // Carries an order out at the worker, perhaps late, and brings the answer back, perhaps not.
     void call(const std::shared_ptr<owner>&, const worker_id&,
