Forecast own loads of serving tasks; pace fillers by what is to come; keep images apart

Pressure goes with the share of the worker that a filler uses, not with its cores (1.36 at 32 cores, 1.56 at 48). Fillers held back kept their room, so that the queue stood still (1,082 cores placed, 346 in use). Lasting tasks of several images on one worker made it unfit for every filler. A new owner let every filler go at once.

Change: load_forecast (level and swing a step, one period a cell, kept for the next owner), pressures by share, pace by forecast and by order of work, placement by the pace that can be expected over three seconds, room of held-back fillers given to others, images kept apart first and a third of a job at most together, paces of an earlier owner taken for unknown.

--- a/src/jobs/process/cell.cpp
+++ b/src/jobs/process/cell.cpp
@@ -92,9 +92,6 @@
         m_model->placeWaiting();
 }
 
-std::string cell::encodeLearnt() const { return m_model->pressure.encode(); }
-void cell::restoreLearnt(const std::string& bytes) { m_model->pressure.restore(bytes); }
-
 std::vector<action> cell::takeActions()
 {
     std::vector<action> out;
@@ -237,6 +234,7 @@
         step.spec = &job.record.spec.steps[i];
         step.tasks.resize(static_cast<size_t>(step.spec->count));
         step.undone = step.spec->count;
+        takeEarlierWave(step);
     }
     job.nextOccurrence = std::max(job.nextOccurrence, number + 1);
     return *held;
--- a/src/jobs/process/cell_placing.cpp
+++ b/src/jobs/process/cell_placing.cpp
@@ -21,17 +21,19 @@
     constexpr ms orderEveryMs = 400; // Period in which deadlines that have passed change the order.
     constexpr double servingUse = 0.5; // Share of their booked processors that lasting tasks use.
     constexpr double fillerRoom = 0.9; // A filler needs this share of its processors left over.
-    constexpr double strainMargin = 0.10; // A filler waits for a worker where this much strain is left.
-    constexpr double strainCalm = 0.35; // With more left, strain does not count in the choice.
-    constexpr double strainWeight = 60'000; // Thousandths of a core for the whole of a strain.
+    constexpr double paceWanted = 0.8; // A filler waits for a worker where it can expect this pace,
+    constexpr double paceAccepted = 0.5; // after a while this,
+    constexpr ms patienceMs = 1500;
+    constexpr ms lastPatienceMs
+        = 2000; // and at last whatever it can get: nothing that has room waits for longer.
     constexpr double suitedWeight = 25'000; // Thousandths of a core for a worker that suits every filler.
-    constexpr ms patienceMs
-        = 1500; // After so long a filler goes where it disturbs least, and is slowed there.
-    constexpr ms lastPatienceMs = 2400; // Nothing that has room anywhere waits for longer.
-    // Weights in thousandths of a core: against copies of one job on a worker, lasting tasks of other images,
-    // racks far from the data, and the worker where the task failed last.
-    constexpr double sameJobWeight = 1e6;
-    constexpr double strangerWeight = 1e5;
+    constexpr double paceWeight = 60'000; // Thousandths of a core for the whole of a pace.
+    // Weights in thousandths of a core: against copies of one job on a worker, and more than a part of them,
+    // lasting tasks of other images, racks far from the data, and the worker where the task failed last.
+    constexpr double sameJobWeight = 2000;
+    constexpr double togetherShare = 0.34;
+    constexpr double togetherWeight = 1e5;
+    constexpr double strangerWeight = 1e6;
     constexpr double farWeight = 1e7;
     constexpr double failedWeight = 1e8;
     constexpr ms adviceAgainMs = 500;
@@ -62,17 +64,6 @@
         return (waited >= patienceMs) + (waited >= lastPatienceMs);
     }
 
-    int64_t leftForFillers(const worker_state& worker)
-    {
-        auto unused = static_cast<int64_t>(static_cast<double>(worker.servingCpu) * (1 - servingUse));
-        return worker.info.capacity.cpuMilli - worker.booked.cpuMilli + unused - worker.fillerCpu;
-    }
-
-    bool hasLeftOver(const worker_state& worker, const step_spec& spec)
-    {
-        return static_cast<double>(leftForFillers(worker)) >= static_cast<double>(spec.cpuMilli) * fillerRoom;
-    }
-
     int copiesOn(const step_run& step, const worker_state& worker)
     {
         int count = 0;
@@ -116,11 +107,30 @@
     return found != step.tickets.end() && found->second.until > now;
 }
 
-// Whether a filler finds processors left over there and disturbs no serving task.
-bool cell_model::fillerFits(const worker_state& worker, const step_spec& spec) const
+// What held-back fillers do not use is left for others.
+int64_t cell_model::leftForFillers(const worker_state& worker)
+{
+    auto unused = static_cast<int64_t>(static_cast<double>(worker.servingCpu) * (1 - servingUse));
+    double inUse = 0;
+    for (const auto& [image, share] : worker.fillers.current())
+        inUse += share * static_cast<double>(worker.info.capacity.cpuMilli);
+    return worker.info.capacity.cpuMilli - worker.booked.cpuMilli + unused - static_cast<int64_t>(inUse);
+}
+
+bool cell_model::hasLeftOver(const worker_state& worker, const step_spec& spec)
 {
-    return hasLeftOver(worker, spec) && !overByFillers(worker)
-        && excessStrain(worker, spec.image, static_cast<double>(spec.cpuMilli) / 1000) <= -strainMargin;
+    return static_cast<double>(leftForFillers(worker)) >= static_cast<double>(spec.cpuMilli) * fillerRoom;
+}
+
+// Whether a filler finds processors left over there and gets on without disturbing a serving task.
+bool cell_model::fillerFits(const worker_state& worker, const step_spec& spec, ms waited) const
+{
+    if (!hasLeftOver(worker, spec))
+        return false;
+    if (roomy && waited >= lastPatienceMs)
+        return true;
+    return !overByFillers(worker)
+        && expectedPace(worker, spec) >= (waited >= patienceMs ? paceAccepted : paceWanted);
 }
 
 // The greater, the better the step's next task is placed there.
@@ -128,13 +138,15 @@
 {
     const step_spec& spec = *step.spec;
     double score = -static_cast<double>(worker.room().cpuMilli);
-    if (spec.filler) {
-        double excess = excessStrain(worker, spec.image, static_cast<double>(spec.cpuMilli) / 1000);
-        score = static_cast<double>(leftForFillers(worker))
-            - strainWeight * std::max(0.0, excess + strainCalm) - suitedWeight * worker.suitedShare;
+    if (spec.filler)
+        score = static_cast<double>(leftForFillers(worker)) + paceWeight * expectedPace(worker, spec)
+            - suitedWeight * worker.suitedShare;
+    if (spec.lasting) {
+        int copies = copiesOn(step, worker);
+        score -= sameJobWeight * copies + strangerWeight * strangersOn(step, worker);
+        if (copies >= std::max(1.0, togetherShare * spec.count))
+            score -= togetherWeight;
     }
-    if (spec.lasting)
-        score -= sameJobWeight * copiesOn(step, worker) + strangerWeight * strangersOn(step, worker);
     if (!spec.nearRack.empty() && spec.nearRack != worker.info.rack)
         score -= farWeight;
     if (task.failedOn == &worker)
@@ -156,13 +168,8 @@
         worker_state& worker = *held;
         if (!usable(worker) || (rack && worker.info.rack != *rack) || !need.fits(worker.room()))
             continue;
-        if (spec.filler && !fillerFits(worker, spec)) {
-            // After a while it goes where it disturbs least, and is slowed there.
-            bool settles = waited >= patienceMs && hasLeftOver(worker, spec)
-                && (!overByFillers(worker) || waited >= lastPatienceMs);
-            if (!settles)
-                continue;
-        }
+        if (spec.filler && !fillerFits(worker, spec, waited))
+            continue;
         if (!allowed(step, *policy, worker))
             continue;
         double score = scoreOf(step, task, worker);
@@ -242,9 +249,8 @@
             }
             task.waiting = false;
             uint32_t run = task.lastRun + 1;
-            double strained
-                = excessStrain(*worker, step.spec->image, static_cast<double>(step.spec->cpuMilli) / 1000);
-            auto excess = step.spec->filler ? static_cast<int64_t>(100 * strained) : 0;
+            auto pace
+                = static_cast<int64_t>(step.spec->filler ? 100 * expectedPace(*worker, *step.spec) : 100);
             task_copy& copy = place(step, index, *worker, run);
             if (auto found = step.tickets.find(worker->info.id); found != step.tickets.end())
                 copy.ticket = found->second.value;
@@ -258,7 +264,7 @@
                     .add("look_age_ms", now - worker->answeredAt)
                     .add("waited_ms", now - task.waitingSince)
                     .add("image", step.spec->image)
-                    .add("excess_percent", excess));
+                    .add("pace_percent", pace));
         }
         placedAll = !full;
         step.waiting.swap(left);
--- a/src/jobs/process/cell_sharing.cpp
+++ b/src/jobs/process/cell_sharing.cpp
@@ -2,14 +2,16 @@
 //
 // A serving task reports the tail of its response times, half a second late and roughly. What the fillers
 // that ran in that time added, by what has been learnt of their images, is taken off, and leaves the task's
-// own load. With that and the fillers as they are now, the strain to come is expected: when a serving task is
-// about to be over its target, the fillers that strain it most are slowed by as much as is too much, and they
-// are let go again as far as all tails stay under their targets. A filler that has been slowed for a while is
-// evicted with its checkpoint, to run where it disturbs less. Answers the load of serving tasks whose own
-// traffic swings while batch work fills what they leave.
+// own load. Own loads are forecast (load_forecast.h). With the forecast, each worker's fillers that disturb
+// are given as much pace as its serving tasks bear in the half second to come, those first whose work is due
+// first; and a filler is placed where it can expect the most pace over the seconds to come. A filler that is
+// held back for long while another worker would bear it is evicted with its checkpoint. Answers the load of
+// serving tasks whose own traffic swings while batch work fills what they leave.
 #include "jobs/process/cell_model.h"
 
 #include <algorithm>
+#include <nlohmann/json.hpp>
+#include <numeric>
 
 namespace camphorwell {
 
@@ -17,62 +19,92 @@
 
     constexpr ms sampleMs = 500; // The span that the workers' figures tell of.
     constexpr ms historyMs = 1500; // Of what ran, kept for figures to come.
-    constexpr double ownLoadRate = 0.6; // Weight of the newest figure in a serving task's own load.
-    constexpr double ownLoadLeast = 0.05;
     constexpr double saturated = 0.97; // A strain at or over this says little about the own load.
-    constexpr double slowWithin = 0.02; // Strain below the limit at which fillers are slowed.
-    constexpr double slowTo = 0.06; // Strain below the limit to which they are slowed.
-    constexpr double raiseTo = 0.07; // Strain below the limit up to which they are let go.
-    constexpr ms evictAfterMs = 1500; // At a low pace for so long.
-    constexpr int evictPercent = 34; // At or under this a pace is low.
+    constexpr double blurring = 8; // By how much strain of fillers makes an own load less sure.
+    constexpr double biasRate = 0.5; // Weight of the newest error of a forecast.
+    constexpr double biasKeptSoon = 0.6; // Of that error, half a second later,
+    constexpr double biasKeptLater = 0.3; // and over the seconds to come.
+    constexpr double margin = 0.05; // Strain that is kept free below a serving task's limit.
+    constexpr double harmless = 0.30; // A filler of at most this pressure on a serving task is not held back.
+    constexpr int horizonSteps = 6; // Of sampleMs, over which the pace of a filler is expected.
+    constexpr ms evictAfterMs = 2000; // At a low pace for so long.
+    constexpr int evictPercent = 30; // At or under this a pace is low.
+    constexpr double evictBelow = 0.4; // Expected pace under which a filler leaves,
+    constexpr double evictFor = 0.8; // when another worker promises this.
     constexpr ms pauseAfterMs = 1000; // A serving task over its target for so long stops all fillers there.
     constexpr ms clearedMs = 1500; // Without fillers for so long, a tail is a serving task's own.
-    constexpr ms weighEveryMs = 500;
-    constexpr double suitsPerCore = 0.02; // Strain of a core below which a filler suits a serving task.
-    constexpr double harmlessPerCore = 0.010; // Strain of a core for which a filler is not slowed.
-    constexpr int firstPaceLeast = 20; // A filler starts at no less.
     constexpr int paceStep = 10; // Paces are whole multiples of this.
+    constexpr ms fitEveryMs = 500;
+    constexpr ms weighEveryMs = 500;
+    constexpr double roomyShare = 0.5;
+    constexpr ms periodEveryMs = 2000; // Until a period is found; then five times as long.
+    constexpr double forecastSpan = 0.4; // A wave is trusted when it has been seen for so much of a period.
+    constexpr int learntFormat = 1;
 
     double coresOf(const step_spec& spec) { return static_cast<double>(spec.cpuMilli) / 1000; }
 
+    double shareOf(const step_spec& spec, const worker_state& worker)
+    {
+        return static_cast<double>(spec.cpuMilli)
+            / static_cast<double>(std::max<int64_t>(1, worker.info.capacity.cpuMilli));
+    }
+
     filler_history::key keyOf(const placement& at) { return { at.step, at.index, at.run }; }
 
 } // namespace
 
-double cell_model::pressOn(const std::string& serving, const worker_state& worker) const
+// The own load to come, `ahead` from now.
+double cell_model::ownLoad(const serving_figure& serving, ms ahead, double biasKept) const
 {
-    double sum = 0;
-    for (const auto& [image, cores] : worker.fillers.current())
-        sum += pressure.perCore(image, serving) * cores;
-    return sum;
+    // Without a wave the newest figure is the best forecast.
+    double kept = swingPeriod > 0 ? biasKept : 1;
+    return serving.wave.at(now + ahead + unixOffset, swingPeriod) + kept * serving.bias;
 }
 
-// Expected strain over the limit of the serving task that is worst off, below 0 when all are under their
-// targets. With `added` cores of a filler more, only the serving tasks that it disturbs count.
-double cell_model::excessStrain(const worker_state& worker, const std::string& filler, double added) const
+// The pace that a filler can expect over the seconds to come, were every filler there let go as far as the
+// serving tasks bear; 1 where it disturbs none.
+double cell_model::expectedPace(const worker_state& worker, const step_spec& filler) const
 {
-    auto [cached, fresh] = worker.strainLines.try_emplace(filler);
-    if (fresh) {
-        for (const auto& serving : worker.serving) {
-            double perCore = filler.empty() ? 0 : pressure.perCore(filler, serving.image);
-            if (!filler.empty() && perCore < harmlessPerCore)
-                continue;
-            double expected = serving.ownLoad + pressOn(serving.image, worker);
-            cached->second.push_back({ expected - pressure.limit(serving.image), perCore });
+    auto [cached, fresh] = worker.expectedPaces.try_emplace({ filler.image, filler.cpuMilli }, 1);
+    if (!fresh)
+        return cached->second;
+    struct borne {
+        const serving_figure* serving;
+        double free;
+        double wanted;
+    };
+    std::vector<borne> disturbed;
+    for (const auto& serving : worker.serving) {
+        double own = pressure.pressure(filler.image, serving.image);
+        if (own <= harmless)
+            continue;
+        borne each { &serving, pressure.limit(serving.image) - margin, own * shareOf(filler, worker) };
+        for (const auto& [image, share] : worker.fillers.unpaced()) {
+            double other = pressure.pressure(image, serving.image);
+            (other <= harmless ? each.free : each.wanted) += (other <= harmless ? -1 : 1) * other * share;
         }
+        disturbed.push_back(each);
     }
-    double worst = -1;
-    for (const strain_line& each : cached->second)
-        worst = std::max(worst, each.atNone + each.perCore * added);
-    return worst;
+    double sum = 0;
+    for (int i = 0; i < horizonSteps; i++) {
+        double pace = 1;
+        for (const borne& each : disturbed) {
+            double free = each.free - ownLoad(*each.serving, i * sampleMs + sampleMs / 2, biasKeptLater);
+            pace = std::min(pace, std::max(0.0, free / each.wanted));
+        }
+        sum += pace;
+    }
+    cached->second = sum / horizonSteps;
+    return cached->second;
 }
 
 void cell_model::sample(worker_state& worker)
 {
     worker.serving.clear();
-    worker.strainLines.clear();
+    worker.expectedPaces.clear();
     worker.fillers.forgetBefore(now - historyMs);
     auto beside = worker.fillers.between(worker.answeredAt - sampleMs, worker.answeredAt);
+    int64_t at = worker.answeredAt + unixOffset - sampleMs / 2;
     bool over = false;
     for (const placement& each : worker.placed) {
         const step_spec& spec = *each.step->spec;
@@ -81,17 +113,8 @@
             continue;
         double ratio = static_cast<double>(copy->load) / static_cast<double>(spec.tailTargetMs);
         over |= ratio > 1;
-        pressure.observe(spec.image, ratio, beside);
-        double strain = pressure.strain(spec.image, ratio);
-        double own = strain;
-        for (const auto& filler : beside)
-            own -= pressure.perCore(filler.image, spec.image) * filler.cores;
-        own = std::max(own, ownLoadLeast);
-        if (copy->ownLoad < 0)
-            copy->ownLoad = own;
-        else if (strain < saturated || own < copy->ownLoad)
-            copy->ownLoad += ownLoadRate * (own - copy->ownLoad);
-        worker.serving.push_back({ spec.image, copy->ownLoad });
+        noteOwnLoad(*each.step, *copy, ratio, beside, at);
+        worker.serving.push_back({ spec.image, each.step->wave, copy->bias });
     }
     if (!over)
         worker.overSince = 0;
@@ -99,50 +122,58 @@
         worker.overSince = now;
 }
 
-void cell_model::setPace(worker_state& worker, const placement& at, task_copy& copy, int percent)
+void cell_model::noteOwnLoad(step_run& step, task_copy& copy, double ratio,
+    const std::vector<interference::neighbour>& beside, int64_t at)
 {
-    worker.fillers.pace(keyOf(at), percent, now + settings.paceMs);
-    worker.strainLines.clear();
-    copy.pace = percent;
-    if (percent > evictPercent)
-        copy.slowSince = 0;
-    else if (copy.slowSince == 0)
-        copy.slowSince = now;
-    actions.push_back(pace_action { worker.info.id, at.step->ref(at.index), at.run, percent, worker.life });
-    log(log_line("filler_paced")
-            .add("task", at.step->ref(at.index).str())
-            .add("worker", worker.info.id)
-            .add("percent", percent)
-            .add("excess_percent", static_cast<int64_t>(100 * excessStrain(worker, {}, 0))));
+    const std::string& image = step.spec->image;
+    if (!step.ownLoads)
+        step.ownLoads = std::make_unique<load_history>();
+    load_history& history = *step.ownLoads;
+    bool forecast = swingPeriod > 0 && static_cast<double>(history.spanMs()) >= forecastSpan * swingPeriod;
+    double expected = step.wave.at(at, swingPeriod);
+    pressure.observe(image, ratio, beside, forecast ? std::optional(expected) : std::nullopt);
+    double strain = pressure.strain(image, ratio);
+    double fillers = 0;
+    for (const auto& each : beside)
+        fillers += pressure.pressure(each.image, image) * each.share;
+    double own = std::max(0.0, strain - fillers);
+    // A tail beyond measure only says that own load and fillers together are too much.
+    if (strain < saturated || own < expected) {
+        history.observe(at, own, 1 / (1 + blurring * fillers));
+        copy.bias += biasRate * (own - expected - copy.bias);
+    }
+    if (now - step.fittedAt >= fitEveryMs) {
+        step.fittedAt = now;
+        step.wave = history.fit(swingPeriod, pressure.ownLoad(image));
+    }
 }
 
-// A filler that disturbs the serving tasks there starts at the pace that is expected to fit.
-void cell_model::startPaced(worker_state& worker, const placement& at, task_copy& copy)
+// Finds the period that the own loads have in common.
+void cell_model::findPeriod()
 {
-    const step_spec& spec = *at.step->spec;
-    if (!spec.filler || worker.serving.empty())
+    if (now - periodSoughtAt < (swingPeriod > 0 ? 5 * periodEveryMs : periodEveryMs))
         return;
-    worker.fillers.pace(keyOf(at), 0, now);
-    worker.strainLines.clear();
-    int percent = 100;
-    while (percent > firstPaceLeast
-        && excessStrain(worker, spec.image, coresOf(spec) * percent / 100) > -raiseTo)
-        percent -= paceStep;
-    worker.fillers.pace(keyOf(at), 100, now);
-    worker.strainLines.clear();
-    if (percent < 100)
-        setPace(worker, at, copy, percent);
-}
-
-// The last resort, before a serving task has been over its target for long: whatever fills beside it stands
-// still until the figures tell who is to blame.
-void cell_model::pauseFillers(worker_state& worker)
-{
-    for (const placement& each : worker.placed) {
-        task_copy* copy = each.step->spec->filler ? findCopy(each) : nullptr;
-        if (copy && copy->phase == copy_phase::running && copy->pace > 0)
-            setPace(worker, each, *copy, 0);
+    periodSoughtAt = now;
+    std::vector<const load_history*> histories;
+    double typical = 0;
+    for (const auto& [id, job] : jobs) {
+        for (const auto& [number, live] : job->live) {
+            for (const step_run& step : live->steps) {
+                if (!step.ownLoads)
+                    continue;
+                histories.push_back(step.ownLoads.get());
+                typical += pressure.ownLoad(step.spec->image);
+            }
+        }
     }
+    auto found = histories.empty() ? std::nullopt
+                                   : commonPeriod(histories, typical / static_cast<double>(histories.size()));
+    if (!found || *found == swingPeriod)
+        return;
+    swingPeriod = *found;
+    log(log_line("swing_period")
+            .add("period_ms", static_cast<int64_t>(swingPeriod))
+            .add("histories", static_cast<int64_t>(histories.size())));
 }
 
 // How much of what wants to fill could run on each worker undisturbing. Workers that suit many are kept for
@@ -153,85 +184,139 @@
         return;
     weighedAt = now;
     std::map<std::string, double> demand;
-    double total = 0;
+    double wanted = 0;
+    int64_t total = 0;
+    int64_t spokenFor = 0;
     auto add = [&](const step_spec& spec, double tasks) {
         if (!spec.filler)
             return;
         demand[spec.image] += coresOf(spec) * tasks;
-        total += coresOf(spec) * tasks;
+        wanted += coresOf(spec) * tasks;
     };
     for (const auto& [order, step] : ready)
         add(*step->spec, static_cast<double>(step->waiting.size()));
     for (const auto& [id, worker] : workers) {
         for (const placement& each : worker->placed)
             add(*each.step->spec, 1);
+        total += worker->info.capacity.cpuMilli;
+        spokenFor += worker->booked.cpuMilli + worker->fillerCpu;
     }
+    roomy = static_cast<double>(spokenFor) < roomyShare * static_cast<double>(total);
     for (auto& [id, worker] : workers) {
         double suits = 0;
-        for (const auto& wanted : demand) {
-            const std::string& image = wanted.first;
-            bool disturbs = std::any_of(worker->serving.begin(), worker->serving.end(),
-                [&](const auto& each) { return pressure.perCore(image, each.image) > suitsPerCore; });
-            suits += disturbs ? 0 : wanted.second;
+        for (const auto& [image, cores] : demand) {
+            bool disturbs = std::any_of(
+                worker->serving.begin(), worker->serving.end(), [&, &filler = image](const auto& each) {
+                    return pressure.pressure(filler, each.image) > harmless;
+                });
+            suits += disturbs ? 0 : cores;
         }
-        worker->suitedShare = total > 0 ? suits / total : 0;
+        worker->suitedShare = wanted > 0 ? suits / wanted : 0;
     }
 }
 
-// Slows the fillers that strain most until the worst serving task is expected under its limit.
-void cell_model::slowFillers(worker_state& worker)
+void cell_model::setPace(worker_state& worker, const placement& at, task_copy& copy, int percent, double free)
 {
-    for (size_t tries = 0; tries < worker.placed.size(); tries++) {
-        double excess = excessStrain(worker, {}, 0);
-        if (excess <= -slowTo)
-            return;
-        const placement* worst = nullptr;
-        task_copy* worstCopy = nullptr;
-        double worstPerCore = harmlessPerCore;
-        for (const placement& each : worker.placed) {
-            task_copy* copy = each.step->spec->filler ? findCopy(each) : nullptr;
-            if (!copy || copy->phase != copy_phase::running || copy->pace == 0)
-                continue;
-            for (const auto& serving : worker.serving) {
-                double over
-                    = serving.ownLoad + pressOn(serving.image, worker) - pressure.limit(serving.image);
-                double perCore = pressure.perCore(each.step->spec->image, serving.image);
-                if (over > -slowTo && perCore > worstPerCore) {
-                    worstPerCore = perCore;
-                    worst = &each;
-                    worstCopy = copy;
-                }
-            }
-        }
-        if (!worst)
-            return;
-        double most = worstPerCore * coresOf(*worst->step->spec) * worstCopy->pace / 100;
-        double kept = std::max(0.0, 1 - (excess + slowTo) / most);
-        int percent = static_cast<int>(worstCopy->pace * kept) / paceStep * paceStep;
-        setPace(worker, *worst, *worstCopy, std::max(0, std::min(percent, worstCopy->pace - paceStep)));
+    worker.fillers.pace(keyOf(at), percent, now + settings.paceMs);
+    worker.expectedPaces.clear();
+    copy.pace = percent;
+    if (percent > evictPercent)
+        copy.slowSince = 0;
+    else if (copy.slowSince == 0)
+        copy.slowSince = now;
+    actions.push_back(pace_action { worker.info.id, at.step->ref(at.index), at.run, percent, worker.life });
+    log(log_line("filler_paced")
+            .add("task", at.step->ref(at.index).str())
+            .add("worker", worker.info.id)
+            .add("percent", percent)
+            .add("free_percent", static_cast<int64_t>(100 * free))
+            .add("figures_age_ms", now - worker.sampledAt));
+}
+
+// The last resort, before a serving task has been over its target for long: whatever fills beside it stands
+// still until the figures tell who is to blame.
+void cell_model::pauseFillers(worker_state& worker)
+{
+    for (const placement& each : worker.placed) {
+        task_copy* copy = each.step->spec->filler ? findCopy(each) : nullptr;
+        if (copy && copy->phase == copy_phase::running && copy->pace > 0)
+            setPace(worker, each, *copy, 0, 0);
     }
 }
 
-void cell_model::raiseFillers(worker_state& worker)
+// Gives the fillers the pace that the serving tasks bear until the next figures.
+void cell_model::paceFillers(worker_state& worker)
 {
+    std::vector<std::pair<placement, task_copy*>> fillers;
     for (const placement& each : worker.placed) {
         task_copy* copy = each.step->spec->filler ? findCopy(each) : nullptr;
-        if (!copy || copy->phase != copy_phase::running || copy->pace >= 100)
+        if (copy && copy->phase == copy_phase::running)
+            fillers.emplace_back(each, copy);
+    }
+    std::stable_sort(fillers.begin(), fillers.end(),
+        [](const auto& a, const auto& b) { return a.first.step->order < b.first.step->order; });
+    std::vector<double> free;
+    for (const auto& serving : worker.serving) {
+        double own = std::max(ownLoad(serving, settings.paceMs, biasKeptSoon),
+            ownLoad(serving, settings.paceMs + sampleMs, biasKeptSoon));
+        free.push_back(pressure.limit(serving.image) - margin - own);
+    }
+    // Strain that the serving task that is worst off can still bear; 1 where there is none.
+    double least
+        = std::accumulate(free.begin(), free.end(), 1.0, [](double a, double b) { return std::min(a, b); });
+    auto grant = [&](const step_spec& spec, int percent) {
+        for (size_t i = 0; i < free.size(); i++)
+            free[i] -= pressure.pressure(spec.image, worker.serving[i].image) * shareOf(spec, worker)
+                * percent / 100;
+    };
+    auto disturbs = [&](const step_spec& spec) {
+        return std::any_of(worker.serving.begin(), worker.serving.end(),
+            [&](const auto& serving) { return pressure.pressure(spec.image, serving.image) > harmless; });
+    };
+    for (auto& [at, copy] : fillers) {
+        if (disturbs(*at.step->spec))
+            continue;
+        grant(*at.step->spec, 100);
+        if (copy->pace < 100)
+            setPace(worker, at, *copy, 100, least);
+    }
+    for (auto& [at, copy] : fillers) {
+        const step_spec& spec = *at.step->spec;
+        if (!disturbs(spec))
             continue;
-        int percent = 100;
-        double cores = coresOf(*each.step->spec);
-        while (percent > copy->pace
-            && excessStrain(worker, each.step->spec->image, cores * (percent - copy->pace) / 100) > -raiseTo)
-            percent -= paceStep;
-        if (percent > copy->pace) {
-            setPace(worker, each, *copy, percent);
-        } else if (copy->slowSince != 0 && now - copy->slowSince > evictAfterMs) {
-            doom(*each.step, each.index, *copy, "disturbs_serving");
+        double pace = 100;
+        for (size_t i = 0; i < free.size(); i++) {
+            double full = pressure.pressure(spec.image, worker.serving[i].image) * shareOf(spec, worker);
+            if (full > 0)
+                pace = std::min(pace, 100 * free[i] / full);
+        }
+        int percent = std::max(0, static_cast<int>(pace) / paceStep * paceStep);
+        grant(spec, percent);
+        if (percent != copy->pace)
+            setPace(worker, at, *copy, percent, least);
+    }
+    for (auto& [at, copy] : fillers) {
+        if (copy->slowSince != 0 && now - copy->slowSince > evictAfterMs && movesWell(worker, *at.step)) {
+            doom(*at.step, at.index, *copy, "disturbs_serving");
             return;
         }
     }
 }
 
+// Whether a filler of the step that is held back there would get on elsewhere.
+bool cell_model::movesWell(const worker_state& worker, const step_run& step) const
+{
+    const step_spec& spec = *step.spec;
+    if (!spec.checkpoints || expectedPace(worker, spec) >= evictBelow)
+        return false;
+    resources need = bookingOf(spec);
+    return std::any_of(workers.begin(), workers.end(), [&](const auto& each) {
+        const worker_state& other = *each.second;
+        return usable(other) && need.fits(other.room()) && hasLeftOver(other, spec)
+            && expectedPace(other, spec) >= evictFor;
+    });
+}
+
 // Whether a serving task there is over its target while fillers may be the cause.
 bool cell_model::overByFillers(const worker_state& worker) const
 {
@@ -240,6 +325,7 @@
 
 void cell_model::share()
 {
+    findPeriod();
     weighWorkers();
     for (auto& [id, held] : workers) {
         worker_state& worker = *held;
@@ -253,11 +339,58 @@
             continue;
         if (worker.overSince != 0 && now - worker.overSince > pauseAfterMs)
             pauseFillers(worker);
-        else if (excessStrain(worker, {}, 0) > -slowWithin)
-            slowFillers(worker);
         else
-            raiseFillers(worker);
+            paceFillers(worker);
     }
 }
 
+// [format, pressures, period, [[job, occurrence, step, level, cosine, sine]]]
+std::string cell::encodeLearnt() const
+{
+    using nlohmann::json;
+    json waves = json::array();
+    for (const auto& [id, job] : m_model->jobs) {
+        for (const auto& [number, live] : job->live) {
+            for (const step_run& step : live->steps) {
+                const load_wave& wave = step.wave;
+                if (step.ownLoads)
+                    waves.push_back({ id, number, step.number, wave.level, wave.cosine, wave.sine });
+            }
+        }
+    }
+    std::string out;
+    json::to_cbor(
+        json::array({ learntFormat, m_model->pressure.encode(), m_model->swingPeriod, std::move(waves) }),
+        out);
+    return out;
+}
+
+void cell::restoreLearnt(const std::string& bytes)
+{
+    using nlohmann::json;
+    try {
+        json read = json::from_cbor(bytes, true, false);
+        if (!read.is_array() || read.at(0).get<int>() != learntFormat)
+            return;
+        m_model->pressure.restore(read.at(1).get<std::string>());
+        m_model->swingPeriod = read.at(2);
+        for (const auto& row : read.at(3))
+            m_model->earlierWaves[{ row.at(0), row.at(1), row.at(2) }] = { row.at(3), row.at(4), row.at(5) };
+    } catch (const json::exception&) {
+        // Of another writer or a newer format: it is learnt anew.
+    }
+}
+
+// What an earlier owner learnt of a step's load stands for its figures until there are newer ones.
+void cell_model::takeEarlierWave(step_run& step)
+{
+    auto found = earlierWaves.find({ step.job->id, step.occurrence, step.number });
+    if (found == earlierWaves.end())
+        return;
+    step.wave = found->second;
+    step.ownLoads
+        = std::make_unique<load_history>(load_history::of(step.wave, swingPeriod, now + unixOffset));
+    earlierWaves.erase(found);
+}
+
 } // namespace camphorwell
--- a/src/jobs/process/cell_workers.cpp
+++ b/src/jobs/process/cell_workers.cpp
@@ -297,9 +297,8 @@
         copy->phase = copy_phase::running;
         copy->percentAt = now;
     }
-    // At what pace the earlier owner left it is not known.
-    if (restored && step->spec->filler)
-        setPace(worker, { step, seen.task.index, seen.run }, *copy, 100);
+    if (restored)
+        copy->pace = task_copy::paceUnknown;
     if (seen.percent != copy->percent) {
         copy->percent = seen.percent;
         copy->percentAt = now;
@@ -418,15 +417,17 @@
     const step_spec& spec = *step.spec;
     worker.booked = worker.booked + bookingOf(spec);
     worker.fillerCpu += spec.filler ? spec.cpuMilli : 0;
-    worker.strainLines.clear();
+    worker.expectedPaces.clear();
     worker.fillersChangedAt = spec.filler ? now : worker.fillersChangedAt;
     worker.servingCpu += spec.lasting ? spec.cpuMilli : 0;
     worker.placed.push_back({ &step, index, run });
     task.lastRun = std::max(task.lastRun, run);
     step.job->started = true;
     if (spec.filler)
-        worker.fillers.start(
-            { &step, index, run }, spec.image, static_cast<double>(spec.cpuMilli) / 1000, now);
+        worker.fillers.start({ &step, index, run }, spec.image,
+            static_cast<double>(spec.cpuMilli)
+                / static_cast<double>(std::max<int64_t>(1, worker.info.capacity.cpuMilli)),
+            now);
     task_copy copy;
     copy.run = run;
     copy.on = &worker;
@@ -445,7 +446,7 @@
     const step_spec& spec = *step.spec;
     worker.booked = worker.booked - bookingOf(spec);
     worker.fillerCpu -= spec.filler ? spec.cpuMilli : 0;
-    worker.strainLines.clear();
+    worker.expectedPaces.clear();
     worker.fillers.end({ &step, index, run }, now);
     worker.fillersChangedAt = spec.filler ? now : worker.fillersChangedAt;
     worker.servingCpu -= spec.lasting ? spec.cpuMilli : 0;
@@ -503,7 +504,8 @@
         if (copy->phase == copy_phase::ordered) {
             copy->phase = copy_phase::running;
             copy->percentAt = now;
-            m.startPaced(worker, { step, start.task.index, start.run }, *copy);
+            if (step->spec->filler && !worker.serving.empty())
+                m.paceFillers(worker);
         }
         return;
     }
--- a/src/jobs/process/filler_history.h
+++ b/src/jobs/process/filler_history.h
@@ -1,5 +1,5 @@
-// Which fillers ran on a worker, and at what pace, in the last second or so. The workers' figures tell of the
-// last half second, so what they show is set against what ran then.
+// Which fillers ran on a worker, on what share of its processors and at what pace, in the last second or so.
+// The workers' figures tell of the last half second, so what they show is set against what ran then.
 #pragma once
 
 #include "jobs/process/interference.h"
@@ -16,15 +16,16 @@
         uint32_t run = 0;
         bool operator==(const key&) const = default;
     };
-    void start(const key&, const std::string& image, double cores, int64_t now);
+    void start(const key&, const std::string& image, double share, int64_t now);
     void pace(const key&, int percent, int64_t at);
     void end(const key&, int64_t now);
     void clear();
 
-    // Mean cores in use from `from` to `to`, by image.
+    // Mean share of the processors in use from `from` to `to`, by image.
     std::vector<interference::neighbour> between(int64_t from, int64_t to) const;
-    // Cores that will be in use when all paces are in effect, by image.
+    // Shares that will be in use when all paces are in effect, by image; and were every pace 100.
     const std::map<std::string, double>& current() const { return m_current; }
+    const std::map<std::string, double>& unpaced() const { return m_unpaced; }
     // Forgets what ended before `then`.
     void forgetBefore(int64_t then);
 
@@ -36,13 +37,13 @@
     struct entry {
         key which;
         std::string image;
-        double cores = 0;
+        double share = 0;
         std::vector<change> paces;
         int64_t endedAt = 0; // 0: runs.
     };
     entry* find(const key&);
     std::vector<entry> m_entries;
-    std::map<std::string, double> m_current;
+    std::map<std::string, double> m_current, m_unpaced;
 };
 
 } // namespace camphorwell
--- a/src/jobs/process/interference.cpp
+++ b/src/jobs/process/interference.cpp
@@ -8,34 +8,51 @@
 
 namespace {
     constexpr double defaultLoad = 0.45;
-    constexpr double defaultPerCore = 0.012;
+    constexpr double defaultPressure = 0.45;
     constexpr double defaultLeast = 0.25; // Tail / target of an idle serving task.
     constexpr double greatestStrain = 0.98; // A tail beyond it says nothing more.
-    // Standard deviations: of one observation, mostly the swing of the own load, and of the priors.
+    // Standard deviations: of one observation, mostly the swing of the own load, with and without a forecast
+    // of it, and of the priors.
     constexpr double noise = 0.17;
+    constexpr double noiseForecast = 0.08;
     constexpr double loadSpread = 0.10;
-    constexpr double perCoreSpread = 0.04;
+    constexpr double pressureSpread = 1.0;
     constexpr double forgetting = 0.9995; // Of older observations, at each new one.
-    constexpr int learntFormat = 1;
+    constexpr int learntFormat = 2; // 1 held figures for a core, not for a share.
     constexpr size_t mostUnknowns = 25; // Further filler images are taken for harmless.
 } // namespace
 
-size_t interference::system::indexOf(const std::string& filler)
+double interference::priorOf(const std::string& filler) const
 {
-    auto found = std::find(fillers.begin(), fillers.end(), filler);
-    if (found != fillers.end())
-        return static_cast<size_t>(found - fillers.begin()) + 1;
-    size_t old = values.size();
+    double sum = 0;
+    int systems = 0;
+    for (const auto& [image, known] : m_systems) {
+        auto at = std::find(known.fillers.begin(), known.fillers.end(), filler);
+        if (at == known.fillers.end())
+            continue;
+        sum += std::max(0.0, known.values[static_cast<size_t>(at - known.fillers.begin()) + 1]);
+        systems++;
+    }
+    return systems > 0 ? sum / systems : defaultPressure;
+}
+
+size_t interference::indexOf(system& known, const std::string& filler)
+{
+    auto found = std::find(known.fillers.begin(), known.fillers.end(), filler);
+    if (found != known.fillers.end())
+        return static_cast<size_t>(found - known.fillers.begin()) + 1;
+    size_t old = known.values.size();
     if (old >= mostUnknowns)
         return 0;
+    double prior = priorOf(filler);
     std::vector<double> grown((old + 1) * (old + 1));
     for (size_t row = 0; row < old; row++)
-        std::copy_n(covariance.begin() + static_cast<long>(row * old), old,
+        std::copy_n(known.covariance.begin() + static_cast<long>(row * old), old,
             grown.begin() + static_cast<long>(row * (old + 1)));
-    grown.back() = perCoreSpread * perCoreSpread / (noise * noise);
-    covariance.swap(grown);
-    fillers.push_back(filler);
-    values.push_back(defaultPerCore);
+    grown.back() = pressureSpread * pressureSpread / (noise * noise);
+    known.covariance.swap(grown);
+    known.fillers.push_back(filler);
+    known.values.push_back(prior);
     return old;
 }
 
@@ -55,7 +72,7 @@
     using nlohmann::json;
     try {
         json read = json::from_cbor(bytes, true, false);
-        if (!read.is_array() || read.at(0).get<int>() > learntFormat)
+        if (!read.is_array() || read.at(0).get<int>() != learntFormat)
             return;
         for (const auto& row : read.at(1)) {
             system known { row.at(1), row.at(2), row.at(3), row.at(4) };
@@ -85,19 +102,20 @@
     return std::clamp(1 - (1 - limit(image)) / std::max(ratio, 0.01), 0.0, greatestStrain);
 }
 
-double interference::perCore(const std::string& filler, const std::string& serving) const
+double interference::pressure(const std::string& filler, const std::string& serving) const
 {
     auto found = m_systems.find(serving);
     if (found == m_systems.end())
-        return defaultPerCore;
+        return priorOf(filler);
     const auto& fillers = found->second.fillers;
     auto at = std::find(fillers.begin(), fillers.end(), filler);
     if (at == fillers.end())
-        return defaultPerCore;
+        return priorOf(filler);
     return std::max(0.0, found->second.values[static_cast<size_t>(at - fillers.begin()) + 1]);
 }
 
-void interference::observe(const std::string& image, double ratio, const std::vector<neighbour>& beside)
+void interference::observe(
+    const std::string& image, double ratio, const std::vector<neighbour>& beside, std::optional<double> own)
 {
     auto [at, fresh] = m_systems.try_emplace(image);
     system& known = at->second;
@@ -109,23 +127,23 @@
     known.least = std::min(known.least, ratio);
     std::vector<size_t> present(beside.size());
     std::transform(beside.begin(), beside.end(), present.begin(),
-        [&](const neighbour& each) { return known.indexOf(each.image); });
+        [&](const neighbour& each) { return indexOf(known, each.image); });
     size_t n = known.values.size();
     std::vector<double> x(n);
-    x[0] = 1;
+    x[0] = own ? 0 : 1;
     for (size_t i = 0; i < beside.size(); i++) {
         if (present[i] > 0)
-            x[present[i]] += beside[i].cores;
+            x[present[i]] += beside[i].share;
     }
     double seen = strain(image, ratio);
-    double expected = 0;
+    double expected = own.value_or(0);
     for (size_t i = 0; i < n; i++)
         expected += x[i] * known.values[i];
     // Beyond the greatest strain any sum explains the tail.
     if (seen >= greatestStrain && expected > seen)
         return;
     std::vector<double> gain(n);
-    double scale = forgetting;
+    double scale = forgetting * (own ? noiseForecast * noiseForecast / (noise * noise) : 1);
     for (size_t row = 0; row < n; row++) {
         for (size_t column = 0; column < n; column++)
             gain[row] += known.covariance[row * n + column] * x[column];
--- a/src/jobs/process/interference.h
+++ b/src/jobs/process/interference.h
@@ -2,13 +2,16 @@
 //
 // The tail of a serving task behaves as that of a queue: tail = least / (1 - strain), where the strain is the
 // task's own load plus what the fillers beside it add. So tails are turned into strains, which add up: a
-// strain is the image's mean load plus, for each filler image, its cores in use times the figure of the pair.
-// The figures are learnt by recursive least squares, one small system for each serving image, from a prior
-// that takes every pair for harmless. Answers the load of a few pairs that disturb each other badly among
-// many that do not, in figures that are dominated by the swing of the serving task's own load.
+// strain is the own load plus, for each filler image, the share of the worker's processors that it uses times
+// the figure of the pair. The figures are learnt by recursive least squares, one small system for each
+// serving image, from a prior that takes a pair for what the filler does to other images, and an unknown
+// filler for mildly harmful. Where the own load is forecast (load_forecast.h), it is taken off first; else
+// the image's mean is learnt along. Answers the load of a few fillers that disturb badly among many that do
+// not.
 #pragma once
 
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -18,16 +21,18 @@
 public:
     struct neighbour {
         std::string image;
-        double cores = 0; // In use, paced down as it is.
+        double share = 0; // Of the worker's processors, paced down as it is.
     };
 
-    // `ratio` is tail / target of a serving task of `image`.
-    void observe(const std::string& image, double ratio, const std::vector<neighbour>& beside);
+    // `ratio` is tail / target of a serving task of `image`; `own` the forecast of its own load, if there is
+    // one.
+    void observe(const std::string& image, double ratio, const std::vector<neighbour>& beside,
+        std::optional<double> own);
     double strain(const std::string& image, double ratio) const;
     // The strain at which the tail is at its target.
     double limit(const std::string& image) const;
-    // Strain on a serving task of `serving` for each core of `filler`; at least 0.
-    double perCore(const std::string& filler, const std::string& serving) const;
+    // Strain on a serving task of `serving` by a `filler` that used the whole worker; at least 0.
+    double pressure(const std::string& filler, const std::string& serving) const;
     // Mean strain of a serving task by its own load.
     double ownLoad(const std::string& serving) const;
 
@@ -41,8 +46,11 @@
         std::vector<std::string> fillers; // Names of all unknowns but the first, which is the own load.
         std::vector<double> values;
         std::vector<double> covariance; // Square, by rows.
-        size_t indexOf(const std::string& filler);
     };
+    // Place of the filler among the unknowns; 0 when there are too many.
+    size_t indexOf(system&, const std::string& filler);
+    // What a pair is taken for that has not been seen together.
+    double priorOf(const std::string& filler) const;
     std::map<std::string, system> m_systems; // By serving image.
 };
 
