Learn pressures from changes; a period needs two searches that agree; more strain kept free

The first period was often half of the true one (6,088 and 8,315 ms for 14 s). Residuals of the forecast are 0.08, so a margin of 0.05 left one sample in ten over the target at the peak.

Change: least squares on what a strain rose by against what the shares rose by (all of the figure before is taken off until a period is known, then 0.6 of it); the period is taken when two searches agree within 6%; margin 0.11.

--- a/src/jobs/process/cell_model.h
+++ b/src/jobs/process/cell_model.h
@@ -34,6 +34,8 @@
     static constexpr int paceUnknown = -1; // An earlier owner may have changed it.
     int pace = 100;
     double bias = 0; // Of a serving task: own load beyond the forecast, lately.
+    double beyond = 0; // Of a serving task: strain beyond the forecast of its own load,
+    ms beyondAt = 0; // in the figure of this time; 0: none.
     ms slowSince = 0; // Since when its pace is low; 0: it is not.
     std::string ticket;
 };
@@ -124,6 +126,14 @@
     double bias = 0;
 };
 
+// The fillers beside the serving tasks of a worker in the half second that its figures tell of.
+struct sharing_figures {
+    ms at = 0;
+    ms before = 0; // Time of the figures before, where they are close enough to compare; else 0.
+    std::vector<interference::neighbour> beside;
+    std::vector<interference::neighbour> rises; // Since then, less what fades by itself.
+};
+
 struct worker_state {
     worker_record info;
     bool listed = false; // The platform lists it.
@@ -137,6 +147,8 @@
     // By image and processors of a filler. Empty after a change of what runs there.
     mutable std::map<std::pair<std::string, int64_t>, double> expectedPaces;
     ms sampledAt = 0;
+    ms sampleAt = 0; // Time of the newest figures that were used,
+    std::vector<interference::neighbour> beside; // and what ran then.
     ms overSince = 0; // Since when a serving task is over its target; 0: none is.
     double suitedShare = 0; // Of the demand of fillers, the part that would disturb nothing there.
     ms fillersChangedAt = 0;
@@ -178,6 +190,7 @@
     decision_log log;
     interference pressure;
     double swingPeriod = 0; // Of the own loads; 0: not known.
+    double periodSeen = 0; // By the last search.
     ms periodSoughtAt = 0;
     ms weighedAt = 0;
     bool roomy = false; // Under half of the processors are spoken for.
@@ -277,8 +290,8 @@
     // cell_sharing.cpp
     void share();
     void sample(worker_state&);
-    void noteOwnLoad(
-        step_run&, task_copy&, double ratio, const std::vector<interference::neighbour>& beside, int64_t at);
+    void noteTail(step_run&, task_copy&, double ratio, const sharing_figures&);
+    double errorKept() const;
     void findPeriod();
     void weighWorkers();
     double ownLoad(const serving_figure&, ms ahead, double biasKept) const;
--- a/src/jobs/process/cell_sharing.cpp
+++ b/src/jobs/process/cell_sharing.cpp
@@ -10,8 +10,10 @@
 #include "jobs/process/cell_model.h"
 
 #include <algorithm>
+#include <cmath>
 #include <nlohmann/json.hpp>
 #include <numeric>
+#include <utility>
 
 namespace camphorwell {
 
@@ -19,13 +21,18 @@
 
     constexpr ms sampleMs = 500; // The span that the workers' figures tell of.
     constexpr ms historyMs = 1500; // Of what ran, kept for figures to come.
-    constexpr double saturated = 0.97; // A strain at or over this says little about the own load.
+    constexpr ms longestGapMs = 1200; // Between figures that are compared.
+    // Standard deviations of what a strain rises by from one figure to the next, fillers apart, with and without
+    // a forecast.
+    constexpr double riseNoise = 0.08;
+    constexpr double riseNoiseUnforecast = 0.12;
+    constexpr double saturated = 0.95; // A strain at or over this says little about the own load.
     constexpr double blurring = 8; // By how much strain of fillers makes an own load less sure.
     constexpr double biasRate = 0.5; // Weight of the newest error of a forecast.
     constexpr double biasKeptSoon = 0.6; // Of that error, half a second later,
     constexpr double biasKeptLater = 0.3; // and over the seconds to come.
-    constexpr double margin = 0.05; // Strain that is kept free below a serving task's limit.
-    constexpr double harmless = 0.30; // A filler of at most this pressure on a serving task is not held back.
+    constexpr double margin = 0.11; // Strain that is kept free below a serving task's limit.
+    constexpr double harmless = 0.40; // A filler of at most this pressure on a serving task is not held back.
     constexpr int horizonSteps = 6; // Of sampleMs, over which the pace of a filler is expected.
     constexpr ms evictAfterMs = 2000; // At a low pace for so long.
     constexpr int evictPercent = 30; // At or under this a pace is low.
@@ -38,7 +45,7 @@
     constexpr ms weighEveryMs = 500;
     constexpr double roomyShare = 0.5;
     constexpr ms periodEveryMs = 2000; // Until a period is found; then five times as long.
-    constexpr double forecastSpan = 0.4; // A wave is trusted when it has been seen for so much of a period.
+    constexpr double periodAgreement = 0.06;
     constexpr int learntFormat = 1;
 
     double coresOf(const step_spec& spec) { return static_cast<double>(spec.cpuMilli) / 1000; }
@@ -49,6 +56,16 @@
             / static_cast<double>(std::max<int64_t>(1, worker.info.capacity.cpuMilli));
     }
 
+    // By how much the shares are greater than `kept` of what they were.
+    std::vector<interference::neighbour> risesOf(const std::vector<interference::neighbour>& before,
+        const std::vector<interference::neighbour>& after, double kept)
+    {
+        std::vector<interference::neighbour> out = after;
+        for (const auto& each : before)
+            out.push_back({ each.image, -kept * each.share });
+        return out;
+    }
+
     filler_history::key keyOf(const placement& at) { return { at.step, at.index, at.run }; }
 
 } // namespace
@@ -103,8 +120,11 @@
     worker.serving.clear();
     worker.expectedPaces.clear();
     worker.fillers.forgetBefore(now - historyMs);
-    auto beside = worker.fillers.between(worker.answeredAt - sampleMs, worker.answeredAt);
-    int64_t at = worker.answeredAt + unixOffset - sampleMs / 2;
+    sharing_figures figures;
+    figures.at = worker.answeredAt;
+    figures.beside = worker.fillers.between(worker.answeredAt - sampleMs, worker.answeredAt);
+    figures.before = worker.answeredAt - worker.sampleAt <= longestGapMs ? worker.sampleAt : 0;
+    figures.rises = risesOf(worker.beside, figures.beside, errorKept());
     bool over = false;
     for (const placement& each : worker.placed) {
         const step_spec& spec = *each.step->spec;
@@ -113,38 +133,50 @@
             continue;
         double ratio = static_cast<double>(copy->load) / static_cast<double>(spec.tailTargetMs);
         over |= ratio > 1;
-        noteOwnLoad(*each.step, *copy, ratio, beside, at);
+        noteTail(*each.step, *copy, ratio, figures);
         worker.serving.push_back({ spec.image, each.step->wave, copy->bias });
     }
+    worker.sampleAt = figures.at;
+    worker.beside = std::move(figures.beside);
     if (!over)
         worker.overSince = 0;
     else if (worker.overSince == 0)
         worker.overSince = now;
 }
 
-void cell_model::noteOwnLoad(step_run& step, task_copy& copy, double ratio,
-    const std::vector<interference::neighbour>& beside, int64_t at)
+// What of an error of the forecast is still there half a second later.
+double cell_model::errorKept() const { return swingPeriod > 0 ? biasKeptSoon : 1; }
+
+// Learns from the tail of one serving task what the fillers beside it do, and what its users do.
+void cell_model::noteTail(step_run& step, task_copy& copy, double ratio, const sharing_figures& figures)
 {
     const std::string& image = step.spec->image;
     if (!step.ownLoads)
         step.ownLoads = std::make_unique<load_history>();
-    load_history& history = *step.ownLoads;
-    bool forecast = swingPeriod > 0 && static_cast<double>(history.spanMs()) >= forecastSpan * swingPeriod;
+    int64_t at = figures.at + unixOffset - sampleMs / 2;
     double expected = step.wave.at(at, swingPeriod);
-    pressure.observe(image, ratio, beside, forecast ? std::optional(expected) : std::nullopt);
+    pressure.noteTail(image, ratio);
     double strain = pressure.strain(image, ratio);
+    // A tail beyond measure only says that own load and fillers together are too much.
+    bool measured = strain < saturated;
+    double beyond = strain - expected;
+    if (measured && figures.before != 0 && copy.beyondAt == figures.before)
+        pressure.learn(image, beyond - errorKept() * copy.beyond, figures.rises,
+            swingPeriod > 0 ? riseNoise : riseNoiseUnforecast);
+    copy.beyond = beyond;
+    copy.beyondAt = measured ? figures.at : 0;
     double fillers = 0;
-    for (const auto& each : beside)
+    for (const auto& each : figures.beside)
         fillers += pressure.pressure(each.image, image) * each.share;
     double own = std::max(0.0, strain - fillers);
-    // A tail beyond measure only says that own load and fillers together are too much.
-    if (strain < saturated || own < expected) {
-        history.observe(at, own, 1 / (1 + blurring * fillers));
+    if (measured || own < expected) {
+        step.ownLoads->observe(at, own, 1 / (1 + blurring * fillers));
+        pressure.noteOwnLoad(image, own);
         copy.bias += biasRate * (own - expected - copy.bias);
     }
     if (now - step.fittedAt >= fitEveryMs) {
         step.fittedAt = now;
-        step.wave = history.fit(swingPeriod, pressure.ownLoad(image));
+        step.wave = step.ownLoads->fit(swingPeriod, pressure.ownLoad(image));
     }
 }
 
@@ -166,9 +198,13 @@
             }
         }
     }
-    auto found = histories.empty() ? std::nullopt
-                                   : commonPeriod(histories, typical / static_cast<double>(histories.size()));
-    if (!found || *found == swingPeriod)
+    auto found = histories.empty()
+        ? std::nullopt
+        : commonPeriod(histories, typical / static_cast<double>(histories.size()));
+    // Two searches must agree, since early figures hold little but what fillers did.
+    double before = std::exchange(periodSeen, found.value_or(0));
+    bool agree = found && std::abs(*found - before) < periodAgreement * *found;
+    if (!agree || *found == swingPeriod)
         return;
     swingPeriod = *found;
     log(log_line("swing_period")
--- a/src/jobs/process/interference.cpp
+++ b/src/jobs/process/interference.cpp
@@ -8,18 +8,15 @@
 
 namespace {
     constexpr double defaultLoad = 0.45;
-    constexpr double defaultPressure = 0.45;
+    constexpr double defaultPressure = 0.5;
+    constexpr double mostPressure = 3; // More would be an error of learning.
     constexpr double defaultLeast = 0.25; // Tail / target of an idle serving task.
     constexpr double greatestStrain = 0.98; // A tail beyond it says nothing more.
-    // Standard deviations: of one observation, mostly the swing of the own load, with and without a forecast
-    // of it, and of the priors.
-    constexpr double noise = 0.17;
-    constexpr double noiseForecast = 0.08;
-    constexpr double loadSpread = 0.10;
-    constexpr double pressureSpread = 1.0;
-    constexpr double forgetting = 0.9995; // Of older observations, at each new one.
-    constexpr int learntFormat = 2; // 1 held figures for a core, not for a share.
-    constexpr size_t mostUnknowns = 25; // Further filler images are taken for harmless.
+    constexpr double ownLoadRate = 0.02; // Weight of one figure in the typical own load.
+    constexpr double pressureSpread = 0.7; // Standard deviation of the prior.
+    constexpr double forgetting = 0.9998; // Of older observations, at each new one.
+    constexpr int learntFormat = 3; // Earlier ones held other figures.
+    constexpr size_t mostUnknowns = 24; // Further filler images are taken for harmless.
 } // namespace
 
 double interference::priorOf(const std::string& filler) const
@@ -30,26 +27,36 @@
         auto at = std::find(known.fillers.begin(), known.fillers.end(), filler);
         if (at == known.fillers.end())
             continue;
-        sum += std::max(0.0, known.values[static_cast<size_t>(at - known.fillers.begin()) + 1]);
+        sum += std::clamp(known.values[static_cast<size_t>(at - known.fillers.begin())], 0.0, mostPressure);
         systems++;
     }
     return systems > 0 ? sum / systems : defaultPressure;
 }
 
-size_t interference::indexOf(system& known, const std::string& filler)
+interference::system& interference::systemOf(const std::string& image)
+{
+    auto [at, fresh] = m_systems.try_emplace(image);
+    if (fresh) {
+        at->second.least = defaultLeast;
+        at->second.ownLoad = defaultLoad;
+    }
+    return at->second;
+}
+
+std::optional<size_t> interference::indexOf(system& known, const std::string& filler)
 {
     auto found = std::find(known.fillers.begin(), known.fillers.end(), filler);
     if (found != known.fillers.end())
-        return static_cast<size_t>(found - known.fillers.begin()) + 1;
+        return static_cast<size_t>(found - known.fillers.begin());
     size_t old = known.values.size();
     if (old >= mostUnknowns)
-        return 0;
+        return std::nullopt;
     double prior = priorOf(filler);
     std::vector<double> grown((old + 1) * (old + 1));
     for (size_t row = 0; row < old; row++)
         std::copy_n(known.covariance.begin() + static_cast<long>(row * old), old,
             grown.begin() + static_cast<long>(row * (old + 1)));
-    grown.back() = pressureSpread * pressureSpread / (noise * noise);
+    grown.back() = pressureSpread * pressureSpread;
     known.covariance.swap(grown);
     known.fillers.push_back(filler);
     known.values.push_back(prior);
@@ -61,7 +68,8 @@
     using nlohmann::json;
     json rows = json::array();
     for (const auto& [image, known] : m_systems)
-        rows.push_back({ image, known.least, known.fillers, known.values, known.covariance });
+        rows.push_back(
+            { image, known.least, known.ownLoad, known.fillers, known.values, known.covariance });
     std::string out;
     json::to_cbor(json::array({ learntFormat, std::move(rows) }), out);
     return out;
@@ -75,9 +83,9 @@
         if (!read.is_array() || read.at(0).get<int>() != learntFormat)
             return;
         for (const auto& row : read.at(1)) {
-            system known { row.at(1), row.at(2), row.at(3), row.at(4) };
+            system known { row.at(1), row.at(2), row.at(3), row.at(4), row.at(5) };
             size_t n = known.values.size();
-            if (n == known.fillers.size() + 1 && known.covariance.size() == n * n)
+            if (n == known.fillers.size() && known.covariance.size() == n * n)
                 m_systems[row.at(0)] = std::move(known);
         }
     } catch (const json::exception&) {
@@ -94,7 +102,7 @@
 double interference::ownLoad(const std::string& serving) const
 {
     auto found = m_systems.find(serving);
-    return found == m_systems.end() ? defaultLoad : found->second.values.front();
+    return found == m_systems.end() ? defaultLoad : found->second.ownLoad;
 }
 
 double interference::strain(const std::string& image, double ratio) const
@@ -111,45 +119,45 @@
     auto at = std::find(fillers.begin(), fillers.end(), filler);
     if (at == fillers.end())
         return priorOf(filler);
-    return std::max(0.0, found->second.values[static_cast<size_t>(at - fillers.begin()) + 1]);
+    return std::clamp(
+        found->second.values[static_cast<size_t>(at - fillers.begin())], 0.0, mostPressure);
 }
 
-void interference::observe(
-    const std::string& image, double ratio, const std::vector<neighbour>& beside, std::optional<double> own)
+void interference::noteTail(const std::string& image, double ratio)
 {
-    auto [at, fresh] = m_systems.try_emplace(image);
-    system& known = at->second;
-    if (fresh) {
-        known.least = defaultLeast;
-        known.values = { defaultLoad };
-        known.covariance = { loadSpread * loadSpread / (noise * noise) };
-    }
+    system& known = systemOf(image);
     known.least = std::min(known.least, ratio);
-    std::vector<size_t> present(beside.size());
-    std::transform(beside.begin(), beside.end(), present.begin(),
-        [&](const neighbour& each) { return indexOf(known, each.image); });
+}
+
+void interference::noteOwnLoad(const std::string& image, double load)
+{
+    system& known = systemOf(image);
+    known.ownLoad += ownLoadRate * (load - known.ownLoad);
+}
+
+void interference::learn(
+    const std::string& image, double rise, const std::vector<neighbour>& shares, double noise)
+{
+    system& known = systemOf(image);
+    std::vector<std::pair<size_t, double>> present;
+    for (const neighbour& each : shares) {
+        if (auto index = indexOf(known, each.image))
+            present.emplace_back(*index, each.share);
+    }
     size_t n = known.values.size();
     std::vector<double> x(n);
-    x[0] = own ? 0 : 1;
-    for (size_t i = 0; i < beside.size(); i++) {
-        if (present[i] > 0)
-            x[present[i]] += beside[i].share;
-    }
-    double seen = strain(image, ratio);
-    double expected = own.value_or(0);
+    for (const auto& [index, share] : present)
+        x[index] += share;
+    double error = rise;
     for (size_t i = 0; i < n; i++)
-        expected += x[i] * known.values[i];
-    // Beyond the greatest strain any sum explains the tail.
-    if (seen >= greatestStrain && expected > seen)
-        return;
+        error -= x[i] * known.values[i];
     std::vector<double> gain(n);
-    double scale = forgetting * (own ? noiseForecast * noiseForecast / (noise * noise) : 1);
+    double scale = forgetting * noise * noise;
     for (size_t row = 0; row < n; row++) {
         for (size_t column = 0; column < n; column++)
             gain[row] += known.covariance[row * n + column] * x[column];
         scale += x[row] * gain[row];
     }
-    double error = seen - expected;
     for (size_t row = 0; row < n; row++)
         known.values[row] += gain[row] / scale * error;
     for (size_t row = 0; row < n; row++) {
--- a/src/jobs/process/interference.h
+++ b/src/jobs/process/interference.h
@@ -3,11 +3,11 @@
 // The tail of a serving task behaves as that of a queue: tail = least / (1 - strain), where the strain is the
 // task's own load plus what the fillers beside it add. So tails are turned into strains, which add up: a
 // strain is the own load plus, for each filler image, the share of the worker's processors that it uses times
-// the figure of the pair. The figures are learnt by recursive least squares, one small system for each
-// serving image, from a prior that takes a pair for what the filler does to other images, and an unknown
-// filler for mildly harmful. Where the own load is forecast (load_forecast.h), it is taken off first; else
-// the image's mean is learnt along. Answers the load of a few fillers that disturb badly among many that do
-// not.
+// the figure of the pair. The figures are learnt by recursive least squares, one small system for each serving
+// image, from changes: what a strain rose by against what the shares rose by, so that an own load that was
+// forecast wrongly does not count again with each figure. The prior takes a pair for what the filler does to
+// other images, and an unknown filler for mildly harmful. Answers the load of a few fillers that disturb badly
+// among many that do not.
 #pragma once
 
 #include <map>
@@ -24,10 +24,13 @@
         double share = 0; // Of the worker's processors, paced down as it is.
     };
 
-    // `ratio` is tail / target of a serving task of `image`; `own` the forecast of its own load, if there is
-    // one.
-    void observe(const std::string& image, double ratio, const std::vector<neighbour>& beside,
-        std::optional<double> own);
+    // `ratio` is tail / target of a serving task of `image`.
+    void noteTail(const std::string& image, double ratio);
+    // What is known of the own load of one task, for the typical one of its image.
+    void noteOwnLoad(const std::string& image, double load);
+    // The strain of a task rose by `rise`, own load apart, when the shares beside it rose as given. `noise` is
+    // the standard deviation of the rise.
+    void learn(const std::string& image, double rise, const std::vector<neighbour>& shares, double noise);
     double strain(const std::string& image, double ratio) const;
     // The strain at which the tail is at its target.
     double limit(const std::string& image) const;
@@ -43,12 +46,14 @@
 private:
     struct system {
         double least = 0; // Least tail / target seen.
-        std::vector<std::string> fillers; // Names of all unknowns but the first, which is the own load.
+        double ownLoad = 0; // Typical.
+        std::vector<std::string> fillers; // The unknowns.
         std::vector<double> values;
         std::vector<double> covariance; // Square, by rows.
     };
-    // Place of the filler among the unknowns; 0 when there are too many.
-    size_t indexOf(system&, const std::string& filler);
+    // Place of the filler among the unknowns; nothing when there are too many.
+    std::optional<size_t> indexOf(system&, const std::string& filler);
+    system& systemOf(const std::string& image);
     // What a pair is taken for that has not been seen together.
     double priorOf(const std::string& filler) const;
     std::map<std::string, system> m_systems; // By serving image.
--- a/src/jobs/process/load_forecast.cpp
+++ b/src/jobs/process/load_forecast.cpp
@@ -22,7 +22,7 @@
     constexpr double refinedRatio = 1.01;
     constexpr size_t historiesAtMost = 24; // That choose the period.
     constexpr double periodsCovered = 0.9; // A history must span so much of a period to speak for it.
-    constexpr double explainedLeast = 0.5; // Of the variance, for a swing to be believed.
+    constexpr double explainedLeast = 0.7; // Of the variance, for a swing to be believed.
 
     double angle(int64_t unixMs, double periodMs)
     {
--- a/tests/jobs/jobs_test.cpp
+++ b/tests/jobs/jobs_test.cpp
@@ -422,6 +422,8 @@
     std::uniform_real_distribution<> uniform(0, 1);
     interference learnt;
     const std::vector<std::string> fillers { "f0", "f1", "f2", "f3", "f4", "f5" };
+    std::vector<interference::neighbour> before;
+    double strainBefore = 0;
     for (int i = 0; i < 1500; i++) {
         std::vector<interference::neighbour> beside;
         double strain = 0.42 + 0.2 * std::sin(i / 7.0);
@@ -432,7 +434,15 @@
             beside.push_back({ fillers[f], share });
             strain += f == 2 ? 0.06 * 32 * share : 0;
         }
-        learnt.observe("s", 0.22 / (1 - std::min(strain, 0.99)), beside, std::nullopt);
+        learnt.noteTail("s", 0.22 / (1 - std::min(strain, 0.99)));
+        double seen = learnt.strain("s", 0.22 / (1 - std::min(strain, 0.99)));
+        auto rises = beside;
+        for (const auto& each : before)
+            rises.push_back({ each.image, -each.share });
+        if (i > 0)
+            learnt.learn("s", seen - strainBefore, rises, 0.12);
+        strainBefore = seen;
+        before = std::move(beside);
     }
     for (const auto& each : fillers) {
         if (each == "f2")
