Instances without the store hand work on, or refuse it at once

Change: the store's client tells for how long calls are overdue; after 0.4 s an instance asks others whether they have the store (they announce themselves in the topic instances). One that has takes the record; else the caller is refused at once, with Retry-After 0 where nobody answers (this instance is cut off) and 1 where the store is down for all. Not ready after 0.8 s without the store or a relay. An append waits 0.7 s. The decision is reach.h. Beside it: room for fillers counts 0.45 of what serving tasks book (was 0.5).

--- a/src/jobs/process/cell_placing.cpp
+++ b/src/jobs/process/cell_placing.cpp
@@ -19,7 +19,7 @@
 
     constexpr ms placeEveryMs = 15; // What comes within it is placed together.
     constexpr ms orderEveryMs = 400; // Period in which deadlines that have passed change the order.
-    constexpr double servingUse = 0.5; // Share of their booked processors that lasting tasks use.
+    constexpr double servingUse = 0.45; // Share of their booked processors that lasting tasks use.
     constexpr double fillerRoom = 0.9; // A filler needs this share of its processors left over.
     constexpr double paceWanted = 0.8; // A filler waits for a worker where it can expect this pace,
     constexpr double paceAccepted = 0.5; // after a while this,
--- a/src/jobs/process/cell_sharing.cpp
+++ b/src/jobs/process/cell_sharing.cpp
@@ -22,17 +22,17 @@
     constexpr ms sampleMs = 500; // The span that the workers' figures tell of.
     constexpr ms historyMs = 1500; // Of what ran, kept for figures to come.
     constexpr ms longestGapMs = 1200; // Between figures that are compared.
-    // Standard deviations of what a strain rises by from one figure to the next, fillers apart, with and without
-    // a forecast.
+    // Standard deviations of what a strain rises by from one figure to the next, fillers apart, with and
+    // without a forecast.
     constexpr double riseNoise = 0.08;
-    constexpr double riseNoiseUnforecast = 0.12;
+    constexpr double riseNoiseUnforecast = 0.15;
     constexpr double saturated = 0.95; // A strain at or over this says little about the own load.
     constexpr double blurring = 8; // By how much strain of fillers makes an own load less sure.
     constexpr double biasRate = 0.5; // Weight of the newest error of a forecast.
     constexpr double biasKeptSoon = 0.6; // Of that error, half a second later,
     constexpr double biasKeptLater = 0.3; // and over the seconds to come.
     constexpr double margin = 0.11; // Strain that is kept free below a serving task's limit.
-    constexpr double harmless = 0.40; // A filler of at most this pressure on a serving task is not held back.
+    constexpr double harmless = 0.45; // A filler of at most this pressure on a serving task is not held back.
     constexpr int horizonSteps = 6; // Of sampleMs, over which the pace of a filler is expected.
     constexpr ms evictAfterMs = 2000; // At a low pace for so long.
     constexpr int evictPercent = 30; // At or under this a pace is low.
@@ -198,9 +198,8 @@
             }
         }
     }
-    auto found = histories.empty()
-        ? std::nullopt
-        : commonPeriod(histories, typical / static_cast<double>(histories.size()));
+    auto found = histories.empty() ? std::nullopt
+                                   : commonPeriod(histories, typical / static_cast<double>(histories.size()));
     // Two searches must agree, since early figures hold little but what fillers did.
     double before = std::exchange(periodSeen, found.value_or(0));
     bool agree = found && std::abs(*found - before) < periodAgreement * *found;
--- a/src/jobs/process/interference.cpp
+++ b/src/jobs/process/interference.cpp
@@ -68,8 +68,7 @@
     using nlohmann::json;
     json rows = json::array();
     for (const auto& [image, known] : m_systems)
-        rows.push_back(
-            { image, known.least, known.ownLoad, known.fillers, known.values, known.covariance });
+        rows.push_back({ image, known.least, known.ownLoad, known.fillers, known.values, known.covariance });
     std::string out;
     json::to_cbor(json::array({ learntFormat, std::move(rows) }), out);
     return out;
@@ -119,8 +118,7 @@
     auto at = std::find(fillers.begin(), fillers.end(), filler);
     if (at == fillers.end())
         return priorOf(filler);
-    return std::clamp(
-        found->second.values[static_cast<size_t>(at - fillers.begin())], 0.0, mostPressure);
+    return std::clamp(found->second.values[static_cast<size_t>(at - fillers.begin())], 0.0, mostPressure);
 }
 
 void interference::noteTail(const std::string& image, double ratio)
--- a/src/jobs/process/interference.h
+++ b/src/jobs/process/interference.h
@@ -3,11 +3,11 @@
 // The tail of a serving task behaves as that of a queue: tail = least / (1 - strain), where the strain is the
 // task's own load plus what the fillers beside it add. So tails are turned into strains, which add up: a
 // strain is the own load plus, for each filler image, the share of the worker's processors that it uses times
-// the figure of the pair. The figures are learnt by recursive least squares, one small system for each serving
-// image, from changes: what a strain rose by against what the shares rose by, so that an own load that was
-// forecast wrongly does not count again with each figure. The prior takes a pair for what the filler does to
-// other images, and an unknown filler for mildly harmful. Answers the load of a few fillers that disturb badly
-// among many that do not.
+// the figure of the pair. The figures are learnt by recursive least squares, one small system for each
+// serving image, from changes: what a strain rose by against what the shares rose by, so that an own load
+// that was forecast wrongly does not count again with each figure. The prior takes a pair for what the filler
+// does to other images, and an unknown filler for mildly harmful. Answers the load of a few fillers that
+// disturb badly among many that do not.
 #pragma once
 
 #include <map>
@@ -28,8 +28,8 @@
     void noteTail(const std::string& image, double ratio);
     // What is known of the own load of one task, for the typical one of its image.
     void noteOwnLoad(const std::string& image, double load);
-    // The strain of a task rose by `rise`, own load apart, when the shares beside it rose as given. `noise` is
-    // the standard deviation of the rise.
+    // The strain of a task rose by `rise`, own load apart, when the shares beside it rose as given. `noise`
+    // is the standard deviation of the rise.
     void learn(const std::string& image, double rise, const std::vector<neighbour>& shares, double noise);
     double strain(const std::string& image, double ratio) const;
     // The strain at which the tail is at its target.
--- a/src/scheduler/process/daemon.cpp
+++ b/src/scheduler/process/daemon.cpp
@@ -9,8 +9,6 @@
     constexpr ms leaveMarginMs = 700; // Before the end of the grace period the process is gone.
     constexpr ms leaveCheckMs = 100;
     constexpr ms figuresEveryMs = 5000;
-    constexpr ms storeCheckMs = 200;
-    constexpr ms storeLostMs = 1600; // Without an answer for so long, while reads wait for at most a second.
 } // namespace
 
 struct scheduler_daemon::state {
@@ -20,8 +18,9 @@
         , log(logLinesPerSecond)
         , context { loop, settings, store, log, counts }
         , catalogue(context, [this] { spreadQueues(); })
+        , directory(context)
         , jobs(context)
-        , calls(context, catalogue, jobs, cells)
+        , calls(context, catalogue, directory, jobs, cells)
     {
         for (int i = 0; i < settings.cells; i++)
             cells.push_back(std::make_unique<cell_host>(context, i));
@@ -33,19 +32,6 @@
             each->setQueues(catalogue.queues());
     }
 
-    // Tells when the store is lost and when it is back.
-    void checkStore()
-    {
-        ms silent = bootNow() - context.storeOkAt;
-        if (storeLostAt == 0 && context.storeOkAt != 0 && silent > storeLostMs) {
-            storeLostAt = context.storeOkAt;
-            log.writeAlways(log_line("store_lost").add("silent_ms", silent));
-        } else if (storeLostAt != 0 && silent < storeLostMs) {
-            log.writeAlways(log_line("store_back").add("away_ms", context.storeOkAt - storeLostAt));
-            storeLostAt = 0;
-        }
-    }
-
     void checkLeft()
     {
         ms spent = bootNow() - leftAt;
@@ -64,11 +50,11 @@
     counters counts;
     scheduler_context context;
     catalogue_follower catalogue;
+    instance_directory directory;
     job_log jobs;
     std::vector<std::unique_ptr<cell_host>> cells;
     front calls;
     ms leftAt = 0;
-    ms storeLostAt = 0; // When the store last answered before it was lost; 0: it answers.
 };
 
 scheduler_daemon::scheduler_daemon(event_loop& loop, scheduler_settings settings)
@@ -87,9 +73,9 @@
                           .add("cells", s.settings.cells));
     BOOST_LEAF_CHECK(s.calls.listen());
     s.catalogue.start();
+    s.directory.start();
     for (auto& each : s.cells)
         each->start();
-    s.context.loop.every(storeCheckMs, [&s] { s.checkStore(); });
     s.context.loop.every(figuresEveryMs, [&s] {
         log_line line("figures");
         for (const auto& [name, value] : s.counts)
@@ -107,6 +93,7 @@
     s.leftAt = bootNow();
     s.log.writeAlways(log_line("stopping").add("open", static_cast<int64_t>(s.calls.open())));
     s.calls.leave();
+    s.directory.leave();
     for (auto& each : s.cells)
         each->release();
     s.checkLeft();
--- a/src/scheduler/request/front.cpp
+++ b/src/scheduler/request/front.cpp
@@ -13,12 +13,18 @@
     constexpr double waitShare = 0.85; // Of the caller's time is used before the answer is final.
     constexpr ms askTimeoutMs = 600;
     constexpr ms askAgainMs = 100;
-    constexpr ms storeFreshMs = 3500; // Without the store for so long, the instance is not ready.
+    constexpr ms unreadyMs = 800; // Without the store for so long, and without an instance that has it.
+    constexpr ms watchEveryMs = 50;
+    constexpr ms decideAgainMs = 40; // While others may still say whether they have the store.
+    constexpr size_t askedAtOnce = 4;
+    constexpr int retryAfterS = 1;
     constexpr size_t bodyBytesAtMost = 1 << 20;
     constexpr int64_t idleMs = 60'000;
     constexpr size_t waitingAtMost = 2000; // Records that wait for the log.
     constexpr size_t connectionsToInstance = 4;
     const char* const cancelPrefix = "x";
+    const char* const recordPath = "/record/"; // Of another instance; the rest is the key.
+    const char* const storePath = "/store";
 
     bool isId(const std::string& text)
     {
@@ -33,15 +39,20 @@
     const platform::route* route = nullptr; // Only until the handler returns.
     std::string queue;
     std::string id;
+    std::string key; // Of the record that accepts or cancels the job,
+    std::string value; // and what it says.
     ms receivedAt = 0;
     ms deadline = 0;
     bool answered = false;
+    bool maybeRecorded = false;
+    int relays = 0;
 };
 
-front::front(scheduler_context& context, catalogue_follower& catalogue, job_log& jobs,
-    std::vector<std::unique_ptr<cell_host>>& cells)
+front::front(scheduler_context& context, catalogue_follower& catalogue, instance_directory& directory,
+    job_log& jobs, std::vector<std::unique_ptr<cell_host>>& cells)
     : m_context(context)
     , m_catalogue(catalogue)
+    , m_directory(directory)
     , m_jobs(jobs)
     , m_cells(cells)
 {
@@ -60,6 +71,7 @@
         = open([this](const http_request&, std::shared_ptr<http_reply> reply) { onReadiness(reply); });
     m_instances = open(
         [this](const http_request& asked, std::shared_ptr<http_reply> reply) { onInstance(asked, reply); });
+    m_context.loop.every(watchEveryMs, [this] { watchStore(); });
     auto [callerHost, callerPort] = platform::splitAddress(m_context.settings.callers);
     BOOST_LEAF_CHECK(m_callers->listen(callerHost, callerPort));
     auto [readyHost, readyPort] = platform::splitAddress(m_context.settings.readiness);
@@ -67,9 +79,38 @@
     return m_instances->listen(m_context.settings.address, m_context.settings.internalPort);
 }
 
+// While the store is in trouble, asks some of the others in turn whether they have it.
+void front::watchStore()
+{
+    ms now = bootNow();
+    ms silent = m_context.store.silentMs();
+    m_reach.observe(silent, now);
+    if (m_reach.troubled() && m_storeLostAt == 0) {
+        m_storeLostAt = now - silent;
+        m_context.log.writeAlways(log_line("store_lost")
+                                      .add("silent_ms", silent)
+                                      .add("others", static_cast<int64_t>(m_directory.others().size())));
+    } else if (!m_reach.troubled() && m_storeLostAt != 0) {
+        m_context.log.writeAlways(log_line("store_back").add("away_ms", now - m_storeLostAt));
+        m_storeLostAt = 0;
+    }
+    if (!m_reach.mustAsk(now))
+        return;
+    const auto& others = m_directory.others();
+    for (size_t i = 0; i < std::min(askedAtOnce, others.size()); i++) {
+        const std::string& address = others[m_askedLast++ % others.size()];
+        instanceAt(address).call(
+            "GET", storePath, {}, {}, store_reach::freshMs, [this, address](const http_response& got) {
+                if (got.status != 0)
+                    m_reach.onPeer(address, got.status == 200, bootNow());
+            });
+    }
+}
+
 bool front::ready() const
 {
-    return !m_leaving && m_catalogue.current() && bootNow() - m_context.storeOkAt < storeFreshMs;
+    bool reaches = m_context.store.silentMs() < unreadyMs || m_reach.choose(bootNow()) == way_in::peer;
+    return !m_leaving && m_catalogue.current() && reaches;
 }
 
 void front::onReadiness(const std::shared_ptr<http_reply>& reply)
@@ -101,8 +142,10 @@
     header_list headers;
     if (!body.empty())
         headers.emplace_back("Content-Type", "application/json");
-    if (status == 503 || status == 429)
-        headers.emplace_back("Retry-After", "1");
+    if (status == 503 || status == 429) {
+        bool elsewhere = m_reach.choose(bootNow()) == way_in::cut_off;
+        headers.emplace_back("Retry-After", elsewhere ? "0" : std::to_string(retryAfterS));
+    }
     if (m_leaving)
         headers.emplace_back("Connection", "close");
     m_context.counts["answer_" + std::to_string(status)]++;
@@ -162,26 +205,88 @@
         return answer(call, 400, "", *fault);
     if (m_jobs.waiting() >= waitingAtMost)
         return answer(call, 503, "", "log_backlog");
-    job_record record { call->queue, unixNow(), std::move(std::get<job_spec>(read)) };
+    job_record job { call->queue, unixNow(), std::move(std::get<job_spec>(read)) };
     call->request.body.clear();
     call->request.body.shrink_to_fit();
-    m_jobs.append(
-        cellOf(call->id), call->id, encodeJob(record), call->deadline, [this, call](job_log::outcome got) {
-            if (got == job_log::outcome::accepted)
-                answer(call, 200, "", "accepted");
-            else if (got == job_log::outcome::refused)
-                answer(call, 503, "", "log_refuses");
+    call->key = call->id;
+    call->value = encodeJob(job);
+    record(call);
+}
+
+void front::cancel(const call_ptr& call)
+{
+    call->key = cancelPrefix + call->id;
+    call->value = "x";
+    record(call);
+}
+
+void front::record(const call_ptr& call)
+{
+    switch (m_reach.choose(bootNow())) {
+    case way_in::log:
+        m_jobs.append(
+            cellOf(call->id), call->key, call->value, call->deadline, [this, call](job_log::outcome got) {
+                call->maybeRecorded |= got == job_log::outcome::unknown;
+                if (got == job_log::outcome::accepted)
+                    answer(call, 200, "", "recorded");
+                else if (m_reach.troubled() && bootNow() < call->deadline)
+                    record(call);
+                else
+                    refuse(call);
+            });
+        return;
+    case way_in::peer:
+        if (call->relays < 2)
+            return relay(call, m_reach.peer(bootNow()));
+        return refuse(call);
+    case way_in::undecided:
+        if (bootNow() + decideAgainMs >= call->deadline)
+            return refuse(call);
+        m_context.loop.after(decideAgainMs, [this, call] { record(call); });
+        return;
+    case way_in::store_down:
+    case way_in::cut_off:
+        refuse(call);
+    }
+}
+
+void front::relay(const call_ptr& call, const std::string& address)
+{
+    call->relays++;
+    m_context.counts["relayed"]++;
+    ms left = std::max<ms>(1, call->deadline - bootNow());
+    instanceAt(address).call("POST", recordPath + call->key, {}, call->value, left,
+        [this, call, address](const http_response& got) {
+            call->maybeRecorded |= got.status == 0 || got.status == 504;
+            if (got.status == 200)
+                answer(call, 200, "", "recorded_by_" + address);
+            else if (bootNow() < call->deadline)
+                record(call);
             else
-                answer(call, 504, "", "log_unanswered");
+                refuse(call);
         });
 }
 
-void front::cancel(const call_ptr& call)
+// The final answer to what could not be recorded: 503 when it surely never will be.
+void front::refuse(const call_ptr& call)
+{
+    answer(call, call->maybeRecorded ? 504 : 503, "", toString(m_reach.choose(bootNow())));
+}
+
+// Another instance, which has no store, hands a record on.
+void front::onRelayed(const http_request& asked, const std::shared_ptr<http_reply>& reply)
 {
+    std::string key = asked.path.substr(std::string(recordPath).size());
+    std::string id = key.starts_with(cancelPrefix) ? key.substr(1) : key;
+    if (!isId(id) || asked.body.empty())
+        return reply->send(400, {}, "");
+    if (m_reach.troubled())
+        return reply->send(503, {}, "");
     m_jobs.append(
-        cellOf(call->id), cancelPrefix + call->id, "x", call->deadline, [this, call](job_log::outcome got) {
+        cellOf(id), key, asked.body, bootNow() + waitDefaultMs / 2, [this, reply, key](job_log::outcome got) {
             bool done = got == job_log::outcome::accepted;
-            answer(call, done ? 200 : 504, "", done ? "cancelled" : "log_unanswered");
+            m_context.log.write(log_line("record_relayed").add("key", key).add("done", done ? 1 : 0));
+            reply->send(done ? 200 : got == job_log::outcome::refused ? 503 : 504, {}, "");
         });
 }
 
@@ -225,7 +330,7 @@
 {
     if (call->reply->callerGone())
         return answer(call, 503, "", "caller_gone");
-    if (bootNow() + askAgainMs >= call->deadline)
+    if (bootNow() + askAgainMs >= call->deadline || m_reach.choose(bootNow()) == way_in::cut_off)
         return answer(call, 503, "", "no_owner");
     auto retry = [this, call, again] {
         m_context.loop.after(askAgainMs, [this, call, again] {
@@ -248,6 +353,10 @@
 {
     const std::string statePath = "/state/";
     const std::string pendingPath = "/pending/";
+    if (asked.path == storePath)
+        return reply->send(m_reach.troubled() ? 503 : 200, {}, "");
+    if (asked.path.starts_with(recordPath) && asked.method == "POST")
+        return onRelayed(asked, reply);
     if (asked.path.starts_with(statePath)) {
         std::string id = asked.path.substr(statePath.size());
         auto known = m_cells[static_cast<size_t>(cellOf(id))]->stateOf(id);
--- a/src/scheduler/request/job_log.cpp
+++ b/src/scheduler/request/job_log.cpp
@@ -6,7 +6,7 @@
 namespace camphorwell {
 
 namespace {
-    constexpr ms appendTimeoutMs = 1200;
+    constexpr ms appendTimeoutMs = 700; // Almost three times an append when the store is 60 times as slow.
     constexpr ms retryMs = 120;
 } // namespace
 
@@ -77,9 +77,19 @@
             }
             m_context.counts["job_append_" + std::string(toString(answer.outcome))]++;
             bool maybe = answer.outcome == platform::store_outcome::no_answer;
+            bool silent = m_context.store.silentMs() >= store_reach::silentMs;
             for (auto& each : *batch) {
                 each.maybeDone |= maybe;
-                m_waiting[at].push_back(std::move(each));
+                if (silent)
+                    each.done(each.maybeDone ? outcome::unknown : outcome::refused);
+                else
+                    m_waiting[at].push_back(std::move(each));
+            }
+            if (silent) {
+                std::vector<entry> unsent;
+                unsent.swap(m_waiting[at]);
+                for (auto& each : unsent)
+                    each.done(each.maybeDone ? outcome::unknown : outcome::refused);
             }
             m_context.loop.after(retryMs, [this, cell] { flush(cell); });
         });
--- /dev/null
+++ b/src/scheduler/request/reach.cpp
@@ -0,0 +1,64 @@
+// See reach.h.
+#include "scheduler/request/reach.h"
+
+#include <algorithm>
+
+namespace camphorwell {
+
+std::string_view toString(way_in way)
+{
+    constexpr std::string_view names[] = { "log", "peer", "store_down", "cut_off", "undecided" };
+    return names[static_cast<size_t>(way)];
+}
+
+void store_reach::observe(ms silent, ms now)
+{
+    if (silent < silentMs) {
+        m_troubledAt = m_firstAskedAt = 0;
+        m_peers.clear();
+    } else if (m_troubledAt == 0) {
+        m_troubledAt = now;
+    }
+}
+
+bool store_reach::mustAsk(ms now)
+{
+    if (!troubled() || (m_askedAt != 0 && now - m_askedAt < askEveryMs))
+        return false;
+    m_askedAt = now;
+    if (m_firstAskedAt == 0)
+        m_firstAskedAt = now;
+    return true;
+}
+
+void store_reach::onPeer(const std::string& address, bool hasStore, ms now)
+{
+    if (troubled())
+        m_peers[address] = { hasStore, now };
+}
+
+std::string store_reach::peer(ms now) const
+{
+    const std::pair<const std::string, seen>* newest = nullptr;
+    for (const auto& each : m_peers) {
+        bool usable = each.second.hasStore && now - each.second.at <= freshMs;
+        if (usable && (!newest || each.second.at > newest->second.at))
+            newest = &each;
+    }
+    return newest ? newest->first : std::string();
+}
+
+way_in store_reach::choose(ms now) const
+{
+    if (!troubled())
+        return way_in::log;
+    if (!peer(now).empty())
+        return way_in::peer;
+    if (m_firstAskedAt == 0 || now - m_firstAskedAt < patienceMs)
+        return way_in::undecided;
+    bool heard = std::any_of(
+        m_peers.begin(), m_peers.end(), [&](const auto& each) { return now - each.second.at <= freshMs; });
+    return heard ? way_in::store_down : way_in::cut_off;
+}
+
+} // namespace camphorwell
--- /dev/null
+++ b/src/scheduler/request/reach.h
@@ -0,0 +1,52 @@
+// Where work can be accepted while the store does not answer this instance: a decision without input or
+// output.
+//
+// Another instance may still have the store, and takes the work then. When others answer but have no store
+// either, the store is down, and a caller is told to come back in a while. When nobody answers, this instance
+// is cut off, and a caller does best to try another at once. Answers the load of single instances and data
+// centres that are cut off, and of a store that turns some instances away.
+#pragma once
+
+#include "jobs/jobs.h"
+
+namespace camphorwell {
+
+enum class way_in : uint8_t {
+    log, // The store answers, as far as is known.
+    peer, // Another instance has the store.
+    store_down, // Others answer, and have no store either.
+    cut_off, // Nobody answers.
+    undecided // Others have been asked and may still answer.
+};
+std::string_view toString(way_in);
+
+class store_reach {
+public:
+    static constexpr ms silentMs
+        = 400; // A store this silent is in trouble: 60 times its usual 4 ms, and some.
+    static constexpr ms askEveryMs = 200; // Others are asked so often then.
+    static constexpr ms patienceMs = 250; // For their answers.
+    static constexpr ms freshMs = 900; // What another said holds for so long.
+
+    // `silent`: for how long the store has left calls without an answer.
+    void observe(ms silent, ms now);
+    // Whether others are to be asked now; the caller asks them.
+    bool mustAsk(ms now);
+    void onPeer(const std::string& address, bool hasStore, ms now);
+    way_in choose(ms now) const;
+    // An instance that has the store; for `peer`.
+    std::string peer(ms now) const;
+    bool troubled() const { return m_troubledAt != 0; }
+
+private:
+    struct seen {
+        bool hasStore = false;
+        ms at = 0;
+    };
+    ms m_troubledAt = 0; // Since when the store is in trouble; 0: it is not.
+    ms m_askedAt = 0;
+    ms m_firstAskedAt = 0; // In this trouble.
+    std::map<std::string, seen> m_peers;
+};
+
+} // namespace camphorwell
--- a/src/scheduler/scheduler.h
+++ b/src/scheduler/scheduler.h
@@ -11,15 +11,17 @@
 //   jobs-C      accepted jobs and cancels of cell C, by id
 //   progress-C  what was started and has ended, by job; written by the owner alone, fenced by its token
 //   claims      partition C: who owns cell C
+//   instances   the instances, by name
 //
-// Parts, by life span: request/front.cpp (a caller's request), version/catalogue.cpp (the configuration in
-// force), process/ (the owner's work, the instance).
+// Parts, by life span: request/ (a caller's request: front.cpp, and where it can be accepted: reach.h),
+// version/ (the configuration in force, the other instances), process/ (the owner's work, the instance).
 //
 // Units: milliseconds on the boot clock. Errors: settings that cannot be used are `e_settings` with the path
 // of each wrong field. Threading: one loop on one thread.
 #pragma once
 
 #include "platform/platform.h"
+#include "scheduler/request/reach.h"
 #include "schema/schema.h"
 
 namespace camphorwell {
@@ -99,13 +101,35 @@
     uint64_t m_next = 0;
 };
 
+// The other instances, as they announce themselves in the store.
+class instance_directory {
+public:
+    explicit instance_directory(scheduler_context&);
+    void start();
+    // Withdraws the announcement of this instance.
+    void leave();
+    // HOST:PORT of each, those of the own and of other data centres by turns.
+    const std::vector<std::string>& others() const { return m_others; }
+
+private:
+    void announce();
+    void read();
+    void take(const std::vector<platform::keyed_item>&);
+    scheduler_context& m_context;
+    std::string m_topic;
+    std::string m_self;
+    bool m_left = false;
+    std::vector<std::string> m_others;
+};
+
 // Appends accepted jobs and cancels, those that arrive meanwhile together.
 class job_log {
 public:
     enum class outcome { accepted, refused, unknown };
     using handler = std::function<void(outcome)>;
     explicit job_log(scheduler_context&);
-    // Tries until `deadline`. `refused` means that the record is not in the log and never will be.
+    // Tries until `deadline`, or until the store falls silent. `refused` means that the record is not in the
+    // log and never will be.
     void append(int cell, std::string key, std::string value, ms deadline, handler);
     size_t waiting() const;
 
@@ -152,7 +176,8 @@
 // Answers callers, the balancer and other instances.
 class front {
 public:
-    front(scheduler_context&, catalogue_follower&, job_log&, std::vector<std::unique_ptr<cell_host>>&);
+    front(scheduler_context&, catalogue_follower&, instance_directory&, job_log&,
+        std::vector<std::unique_ptr<cell_host>>&);
     ~front();
     result<void> listen();
     void leave() { m_leaving = true; }
@@ -164,8 +189,14 @@
     void onCaller(http_request, std::shared_ptr<http_reply>);
     void onInstance(const http_request&, const std::shared_ptr<http_reply>&);
     void onReadiness(const std::shared_ptr<http_reply>&);
+    void onRelayed(const http_request&, const std::shared_ptr<http_reply>&);
     void submit(const call_ptr&);
     void cancel(const call_ptr&);
+    // Brings the call's record into the log, here or at another instance, and answers.
+    void record(const call_ptr&);
+    void relay(const call_ptr&, const std::string& address);
+    void refuse(const call_ptr&);
+    void watchStore();
     void tellState(const call_ptr&);
     void tellPending(const call_ptr&);
     cell_host& cellOfCall(const call_ptr&);
@@ -178,7 +209,11 @@
 
     scheduler_context& m_context;
     catalogue_follower& m_catalogue;
+    instance_directory& m_directory;
     job_log& m_jobs;
+    store_reach m_reach;
+    ms m_storeLostAt = 0; // When the store fell silent; 0: it answers.
+    size_t m_askedLast = 0; // Place in the directory of the last instance that was asked about the store.
     std::vector<std::unique_ptr<cell_host>>& m_cells;
     std::unique_ptr<http_server> m_callers, m_readiness, m_instances;
     std::map<std::string, std::unique_ptr<http_client>> m_others;
--- /dev/null
+++ b/tests/scheduler/reach_test.cpp
@@ -0,0 +1,73 @@
+// Where work can be accepted while the store does not answer an instance.
+#define BOOST_TEST_MODULE reach
+#include "scheduler/request/reach.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace camphorwell;
+
+namespace {
+
+// A store that fell silent at 0, as an instance sees it.
+struct silent_store {
+    store_reach reach;
+    ms now = 0;
+    int asked = 0;
+
+    void pass(ms length)
+    {
+        for (ms until = now + length; now < until; now += 50) {
+            reach.observe(now, now);
+            asked += reach.mustAsk(now);
+        }
+    }
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(a_store_that_answers_is_used)
+{
+    store_reach reach;
+    reach.observe(240, 1'000); // 60 times as slow as usual.
+    BOOST_TEST((reach.choose(1'000) == way_in::log));
+    BOOST_TEST(!reach.mustAsk(1'000));
+}
+
+BOOST_AUTO_TEST_CASE(an_instance_that_nobody_answers_is_cut_off)
+{
+    silent_store s;
+    s.pass(store_reach::silentMs + 100);
+    BOOST_TEST((s.reach.choose(s.now) == way_in::undecided));
+    s.pass(store_reach::patienceMs);
+    BOOST_TEST((s.reach.choose(s.now) == way_in::cut_off));
+}
+
+BOOST_AUTO_TEST_CASE(another_instance_that_has_the_store_takes_the_work)
+{
+    silent_store s;
+    s.pass(store_reach::silentMs + 50);
+    s.reach.onPeer("10.0.0.2:1", false, s.now);
+    s.reach.onPeer("10.0.0.3:1", true, s.now);
+    BOOST_TEST((s.reach.choose(s.now) == way_in::peer));
+    BOOST_TEST(s.reach.peer(s.now) == "10.0.0.3:1");
+    s.pass(store_reach::freshMs + 100); // It has not said so again.
+    BOOST_TEST((s.reach.choose(s.now) == way_in::cut_off));
+}
+
+BOOST_AUTO_TEST_CASE(a_store_that_nobody_has_is_down)
+{
+    silent_store s;
+    s.pass(store_reach::silentMs + store_reach::patienceMs + 100);
+    s.reach.onPeer("10.0.0.2:1", false, s.now);
+    BOOST_TEST((s.reach.choose(s.now) == way_in::store_down));
+    s.reach.observe(0, s.now);
+    BOOST_TEST((s.reach.choose(s.now) == way_in::log));
+}
+
+BOOST_AUTO_TEST_CASE(others_are_asked_at_a_bounded_rate)
+{
+    silent_store s;
+    s.pass(10'000);
+    BOOST_TEST(s.asked >= 40);
+    BOOST_TEST(s.asked <= 10'000 / store_reach::askEveryMs + 1);
+}
