Quick work goes before lasting tasks of its priority

Change: lasting tasks are ordered by the priority of their queue, after its quick work that is in time and before what is late.

--- a/src/jobs/process/cell.cpp
+++ b/src/jobs/process/cell.cpp
@@ -9,6 +9,7 @@
 
     constexpr int rankHopeless = 100; // Added when a job can earn nothing any more.
     constexpr int rankLate = 50; // Added when a job's objective is missed, but a late answer still helps.
+    constexpr ms lastingAfterMs = 3'600'000; // Later than any objective of quick work.
     constexpr ms occurrenceSlackMs = 20; // Clocks differ by a few milliseconds between instances.
 
     // The longest chain of estimates from the start of the job to the end of each step.
@@ -310,9 +311,9 @@
         return out;
     out.rank = policy->priority;
     if (step.spec->lasting) {
-        // A lasting task that is away costs its users every second, so it goes first.
-        out.rank = -1;
-        out.deadline = job.acceptedAt;
+        // It fills what the quick work of its priority leaves: a short task gives its room back at once, and
+        // serves its caller more for each core-second.
+        out.deadline = job.acceptedAt + lastingAfterMs;
         return out;
     }
     ms due = job.acceptedAt;
--- a/src/jobs/process/cell_placing.cpp
+++ b/src/jobs/process/cell_placing.cpp
@@ -1,8 +1,9 @@
 // Order of work and choice of workers.
 //
-// Order: lasting tasks that are away, then by the queue's priority, then by the time until which the job
-// meets its objective. Jobs that have missed it come after those that still can, and those past three times
-// the objective last. Answers the load of a full service: room goes to the work that still helps its caller.
+// Order: by the queue's priority, then by the time until which the job meets its objective, lasting tasks
+// after the others of their priority. Jobs that have missed it come after those that still can, and those
+// past three times the objective last. Answers the load of a full service: room goes to the work that still
+// helps its caller.
 //
 // Choice: lasting tasks go where the least of their job runs already, so that the loss of a worker costs each
 // job little, and beside others of their image, which fillers disturb alike. Among those, and for all others
--- a/src/scheduler/process/cell_host.cpp
+++ b/src/scheduler/process/cell_host.cpp
@@ -5,6 +5,7 @@
 
 namespace {
     constexpr ms tickMs = 25;
+    constexpr ms figuresEveryMs = 5000;
     constexpr ms claimTimeoutMs = 1000;
     constexpr ms claimWaitMs = 1500; // Of a read that follows the claims.
     constexpr ms retryMs = 200;
@@ -155,6 +156,24 @@
     owned->setMayGrant(ownership.mayGrant(now));
     owned->tick(now, unixNow());
     pump();
+    if (now - toldAt >= figuresEveryMs)
+        tellFigures();
+}
+
+void cell_host::state::tellFigures()
+{
+    toldAt = bootNow();
+    auto figures = owned->count();
+    context.log.writeAlways(log_line("cell_figures")
+                                .add("cell", number)
+                                .add("workers", figures.workers)
+                                .add("reachable", figures.reachable)
+                                .add("jobs", figures.jobs)
+                                .add("waiting", figures.waitingTasks)
+                                .add("running", figures.runningTasks)
+                                .add("cpu_booked", figures.cpuBooked)
+                                .add("cpu_fillers", figures.cpuFillers)
+                                .add("cpu_total", figures.cpuTotal));
 }
 
 void cell_host::state::appendClaim(ownership::step step)
--- a/src/scheduler/process/cell_host_state.h
+++ b/src/scheduler/process/cell_host_state.h
@@ -41,6 +41,7 @@
     std::vector<std::pair<uint64_t, platform::keyed_item>> recoveredJobs;
     ms takenAt = 0;
     ms learntAt = 0;
+    ms toldAt = 0; // When the figures of the cell were last written.
     static constexpr const char* learntKey = "~learnt"; // In the progress topic; no job has such an id.
 
     // cell_host.cpp: ownership
@@ -49,6 +50,7 @@
     void followClaims();
     void observe(const std::vector<platform::keyed_item>&, uint64_t end);
     void tick();
+    void tellFigures();
     void appendClaim(ownership::step);
     void drop(std::string_view why);
 
--- a/tests/jobs/jobs_test.cpp
+++ b/tests/jobs/jobs_test.cpp
@@ -404,8 +404,8 @@
     BOOST_TEST(!first.owns());
 }
 
-// A proof that was under way when the instance was told to stop counted as its release, of which the others never
-// heard: they waited 1.8 s for the next proof (trouble-2 seed 13 at 7.0 s).
+// A proof that was under way when the instance was told to stop counted as its release, of which the others
+// never heard: they waited 1.8 s for the next proof (trouble-2 seed 13 at 7.0 s).
 BOOST_AUTO_TEST_CASE(a_release_is_told_after_a_proof_that_was_under_way)
 {
     ownership_settings settings;
