Workers that stand still or are slow are told by the progress of their tasks

Change: cell_speed: the progress of a task against its estimate, set against other tasks of its step, gives the speed of its worker.

The test fails before: the tasks never left.

--- a/src/jobs/process/cell.cpp
+++ b/src/jobs/process/cell.cpp
@@ -77,6 +77,7 @@
         m.openDueOccurrences(*job);
     m.lookAtWorkers();
     m.emptyDraining();
+    m.reviewSpeeds();
     m.share();
     if (m.placeNeeded || !m.ready.empty())
         m.placeWaiting();
--- a/src/jobs/process/cell.h
+++ b/src/jobs/process/cell.h
@@ -5,6 +5,7 @@
 //   cell_progress.cpp records of progress, the write barrier, what a new owner restores
 //   cell_workers.cpp  leases, looks at workers, ends, lost workers
 //   cell_placing.cpp  order of work, choice of workers
+//   cell_speed.cpp    workers that are slow or stand still
 //   cell_sharing.cpp  fillers beside serving tasks: pace, stop
 //   cell_model.h      the state itself
 #pragma once
--- a/src/jobs/process/cell_model.h
+++ b/src/jobs/process/cell_model.h
@@ -30,6 +30,10 @@
     uint64_t listedIn = 0; // Number of the last report that listed it.
     int percent = 0;
     ms percentAt = 0; // When the percentage last rose.
+    ms measuredAt = 0; // Since when its progress is measured,
+    int measuredPercent = 0; // from this,
+    int measuredPace = 0; // at this pace.
+    double speed = 1; // Against its estimate, lately.
     int64_t load = 0;
     static constexpr int paceUnknown = -1; // An earlier owner may have changed it.
     int pace = 100;
@@ -81,6 +85,7 @@
     bool adviceAsked = false;
     ms adviceAgainAt = 0;
     std::set<worker_id> adviceRefused;
+    double speed = 1; // Of its tasks against the estimate, lately.
     std::unique_ptr<load_history> ownLoads; // Of serving tasks.
     load_wave wave;
     ms fittedAt = 0;
@@ -173,6 +178,9 @@
     ms shunMs = 0;
     ms drainedAt = 0;
 
+    double speed = 1; // Of its tasks against others of their steps, lately.
+    bool slow = false;
+
     ms workerNow(ms now) const { return clockWorkerMs + (now - clockAt); }
     resources room() const { return info.capacity - booked; }
 };
@@ -193,6 +201,7 @@
     double periodSeen = 0; // By the last search.
     ms periodSoughtAt = 0;
     ms weighedAt = 0;
+    ms speedsReviewedAt = 0;
     bool roomy = false; // Under half of the processors are spoken for.
     std::map<std::tuple<job_id, int64_t, int>, load_wave> earlierWaves; // Learnt by an earlier owner.
 
@@ -287,6 +296,11 @@
     static int64_t leftForFillers(const worker_state&);
     void askAdvice(step_run&);
 
+    // cell_speed.cpp
+    void noteProgress(worker_state&, step_run&, task_copy&, int percent);
+    bool endsSoonerElsewhere(const step_run&, const task_copy&) const;
+    void reviewSpeeds();
+
     // cell_sharing.cpp
     void share();
     void sample(worker_state&);
--- a/src/jobs/process/cell_placing.cpp
+++ b/src/jobs/process/cell_placing.cpp
@@ -30,12 +30,14 @@
     constexpr double suitedWeight = 25'000; // Thousandths of a core for a worker that suits every filler.
     constexpr double paceWeight = 60'000; // Thousandths of a core for the whole of a pace.
     // Weights in thousandths of a core: against copies of one job on a worker, and more than a part of them,
-    // lasting tasks of other images, racks far from the data, and the worker where the task failed last.
+    // lasting tasks of other images, racks far from the data, slow workers, and the one where the task failed
+    // last.
     constexpr double sameJobWeight = 2000;
     constexpr double togetherShare = 0.34;
     constexpr double togetherWeight = 1e5;
     constexpr double strangerWeight = 1e6;
     constexpr double farWeight = 1e7;
+    constexpr double slowWeight = 5e7;
     constexpr double failedWeight = 1e8;
     constexpr ms adviceAgainMs = 500;
     constexpr ms freshMs = 1500; // A worker must have answered so recently, beyond the wait of a look.
@@ -150,6 +152,8 @@
     }
     if (!spec.nearRack.empty() && spec.nearRack != worker.info.rack)
         score -= farWeight;
+    if (worker.slow)
+        score -= slowWeight;
     if (task.failedOn == &worker)
         score -= failedWeight;
     return score;
--- a/src/jobs/process/cell_workers.cpp
+++ b/src/jobs/process/cell_workers.cpp
@@ -174,6 +174,7 @@
             .add("worker", worker.info.id)
             .add("tasks", static_cast<int64_t>(worker.placed.size())));
     worker.life++;
+    worker.speed = 1;
     worker.lifeMetAt = now;
     worker.adopted = false;
     worker.processed = worker.acknowledged = 0;
@@ -299,6 +300,7 @@
     }
     if (restored)
         copy->pace = task_copy::paceUnknown;
+    noteProgress(worker, *step, *copy, seen.percent);
     if (seen.percent != copy->percent) {
         copy->percent = seen.percent;
         copy->percentAt = now;
--- a/tests/jobs/jobs_test.cpp
+++ b/tests/jobs/jobs_test.cpp
@@ -242,6 +242,53 @@
     BOOST_TEST(orderToken(6, 0) > orderToken(5, again[0].life));
 }
 
+// A worker that answers and does no work: its tasks go on elsewhere, and nothing new is placed there.
+BOOST_AUTO_TEST_CASE(tasks_leave_a_worker_that_stands_still)
+{
+    driven d;
+    job_record job = oneStep(4);
+    job.spec.steps[0].estimateMs = 3'000;
+    job.spec.steps[0].maxPerWorker = 2;
+    d.scheduler.addJob("j", job);
+    for (const char* id : { "w1", "w2", "w3" })
+        d.scheduler.setWorker(worker(id), d.now);
+    d.scheduler.begin(d.now, d.now);
+    std::map<worker_id, worker_report> reports { { "w1", {} }, { "w2", {} }, { "w3", {} } };
+    std::map<std::string, std::pair<worker_id, ms>> startedAt;
+    worker_id still; // Where the first task went.
+    bool left = false;
+    auto turn = [&] {
+        d.step();
+        for (const auto& start : d.take<start_action>()) {
+            still = still.empty() ? start.worker : still;
+            left = left || startedAt.contains(start.task.str());
+            BOOST_TEST((!left || start.worker != still));
+            startedAt[start.task.str()] = { start.worker, d.now };
+            reports[start.worker].running.push_back({ start.task, start.run, "", 0, 900 });
+            d.scheduler.onStarted(start, order_outcome::done, d.now);
+        }
+        for (const auto& stop : d.take<stop_action>()) {
+            BOOST_TEST(stop.worker == still);
+            auto& running = reports[stop.worker].running;
+            std::erase_if(running, [&](const auto& each) { return each.task == stop.task; });
+            reports[stop.worker].ended.push_back(
+                { reports[stop.worker].ended.size() + 1, stop.task, stop.run, end_kind::stopped, "" });
+            d.scheduler.onStopped(stop, order_outcome::done, d.now);
+        }
+        for (auto& [id, report] : reports) {
+            for (auto& each : report.running) {
+                auto [on, since] = startedAt[each.task.str()];
+                each.percent = id == still ? 0 : static_cast<int>(std::min<ms>(99, (d.now - since) / 30));
+            }
+            d.report(id, report);
+        }
+    };
+    for (int i = 0; i < 150; i++)
+        turn();
+    BOOST_TEST(left);
+    BOOST_TEST(reports[still].running.empty());
+}
+
 // A filler that had just come and found every worker strained kept one that had waited long enough from being
 // placed in spite of that (trouble-2: at the end of a day a task did not run with most of the room free).
 BOOST_AUTO_TEST_CASE(a_filler_that_has_waited_is_not_held_back_by_a_newer_one)
