--- a/src/jobs/process/cell_model.h
+++ b/src/jobs/process/cell_model.h
@@ -131,6 +131,13 @@
     double bias = 0;
 };
 
+// A serving task that a filler would disturb.
+struct disturbed_task {
+    const serving_figure* serving = nullptr;
+    double free = 0; // Strain up to its limit, harmless fillers taken off.
+    double wanted = 0; // Strain by those that disturb it, at full pace.
+};
+
 // The fillers beside the serving tasks of a worker in the half second that its figures tell of.
 struct sharing_figures {
     ms at = 0;
@@ -152,7 +159,7 @@
     // By image and processors of a filler. Empty after a change of what runs there.
     mutable std::map<std::pair<std::string, int64_t>, double> expectedPaces;
     ms sampledAt = 0;
-    ms sampleAt = 0; // Time of the newest figures that were used,
+    ms figuresAt = 0; // Time of the newest figures that were used,
     std::vector<interference::neighbour> beside; // and what ran then.
     ms overSince = 0; // Since when a serving task is over its target; 0: none is.
     double suitedShare = 0; // Of the demand of fillers, the part that would disturb nothing there.
@@ -309,6 +316,7 @@
     void findPeriod();
     void weighWorkers();
     double ownLoad(const serving_figure&, ms ahead, double biasKept) const;
+    std::vector<disturbed_task> disturbedBy(const worker_state&, const step_spec& filler) const;
     double expectedPace(const worker_state&, const step_spec& filler) const;
     // `free`: strain that the serving task that is worst off can still bear, for the log.
     void setPace(worker_state&, const placement&, task_copy&, int percent, double free);
--- a/src/jobs/process/cell_sharing.cpp
+++ b/src/jobs/process/cell_sharing.cpp
@@ -27,12 +27,16 @@
     constexpr double riseNoise = 0.08;
     constexpr double riseNoiseUnforecast = 0.15;
     constexpr double saturated = 0.95; // A strain at or over this says little about the own load.
-    constexpr double blurring = 8; // By how much strain of fillers makes an own load less sure.
+    constexpr double blurring = 8; // How much less an own load is sure for each unit of strain by fillers.
     constexpr double biasRate = 0.5; // Weight of the newest error of a forecast.
     constexpr double biasKeptSoon = 0.6; // Of that error, half a second later,
     constexpr double biasKeptLater = 0.3; // and over the seconds to come.
-    constexpr double margin = 0.11; // Strain that is kept free below a serving task's limit.
-    constexpr double harmless = 0.45; // A filler of at most this pressure on a serving task is not held back.
+    // Strain that is kept free below a serving task's limit: about 1.3 standard deviations of the forecast.
+    // 0.05 missed targets twice as long; 0.13 let fillers do no less.
+    constexpr double margin = 0.11;
+    // A filler of at most this pressure on a serving task is not held back. Measured pairs are under 0.3 or
+    // over 0.8.
+    constexpr double harmless = 0.45;
     constexpr int horizonSteps = 6; // Of sampleMs, over which the pace of a filler is expected.
     constexpr ms evictAfterMs = 2000; // At a low pace for so long.
     constexpr int evictPercent = 30; // At or under this a pace is low.
@@ -43,9 +47,10 @@
     constexpr int paceStep = 10; // Paces are whole multiples of this.
     constexpr ms fitEveryMs = 500;
     constexpr ms weighEveryMs = 500;
-    constexpr double roomyShare = 0.5;
+    constexpr double roomyShare
+        = 0.5; // Of the processors spoken for, under which nothing waits for a better place.
     constexpr ms periodEveryMs = 2000; // Until a period is found; then five times as long.
-    constexpr double periodAgreement = 0.06;
+    constexpr double periodAgreement = 0.06; // Of two searches: a little over a step of the candidates.
     constexpr int learntFormat = 1;
 
     double coresOf(const step_spec& spec) { return static_cast<double>(spec.cpuMilli) / 1000; }
@@ -78,34 +83,41 @@
     return serving.wave.at(now + ahead + unixOffset, swingPeriod) + kept * serving.bias;
 }
 
-// The pace that a filler can expect over the seconds to come, were every filler there let go as far as the
-// serving tasks bear; 1 where it disturbs none.
-double cell_model::expectedPace(const worker_state& worker, const step_spec& filler) const
+// The serving tasks that a filler would disturb there: what strain is left for all that disturb them, before
+// their own load, and how much that is when every filler runs at full pace, the new one among them.
+std::vector<disturbed_task> cell_model::disturbedBy(const worker_state& worker, const step_spec& filler) const
 {
-    auto [cached, fresh] = worker.expectedPaces.try_emplace({ filler.image, filler.cpuMilli }, 1);
-    if (!fresh)
-        return cached->second;
-    struct borne {
-        const serving_figure* serving;
-        double free;
-        double wanted;
-    };
-    std::vector<borne> disturbed;
+    std::vector<disturbed_task> out;
     for (const auto& serving : worker.serving) {
-        double own = pressure.pressure(filler.image, serving.image);
-        if (own <= harmless)
+        double pressing = pressure.pressure(filler.image, serving.image);
+        if (pressing <= harmless)
             continue;
-        borne each { &serving, pressure.limit(serving.image) - margin, own * shareOf(filler, worker) };
+        disturbed_task each { &serving, pressure.limit(serving.image) - margin,
+            pressing * shareOf(filler, worker) };
         for (const auto& [image, share] : worker.fillers.unpaced()) {
             double other = pressure.pressure(image, serving.image);
-            (other <= harmless ? each.free : each.wanted) += (other <= harmless ? -1 : 1) * other * share;
+            if (other <= harmless)
+                each.free -= other * share;
+            else
+                each.wanted += other * share;
         }
-        disturbed.push_back(each);
+        out.push_back(each);
     }
+    return out;
+}
+
+// The pace that a filler can expect over the seconds to come, were every filler there let go as far as the
+// serving tasks bear; 1 where it disturbs none.
+double cell_model::expectedPace(const worker_state& worker, const step_spec& filler) const
+{
+    auto [cached, fresh] = worker.expectedPaces.try_emplace({ filler.image, filler.cpuMilli }, 1);
+    if (!fresh)
+        return cached->second;
+    auto disturbed = disturbedBy(worker, filler);
     double sum = 0;
     for (int i = 0; i < horizonSteps; i++) {
         double pace = 1;
-        for (const borne& each : disturbed) {
+        for (const auto& each : disturbed) {
             double free = each.free - ownLoad(*each.serving, i * sampleMs + sampleMs / 2, biasKeptLater);
             pace = std::min(pace, std::max(0.0, free / each.wanted));
         }
@@ -123,7 +135,7 @@
     sharing_figures figures;
     figures.at = worker.answeredAt;
     figures.beside = worker.fillers.between(worker.answeredAt - sampleMs, worker.answeredAt);
-    figures.before = worker.answeredAt - worker.sampleAt <= longestGapMs ? worker.sampleAt : 0;
+    figures.before = worker.answeredAt - worker.figuresAt <= longestGapMs ? worker.figuresAt : 0;
     figures.rises = risesOf(worker.beside, figures.beside, errorKept());
     bool over = false;
     for (const placement& each : worker.placed) {
@@ -136,7 +148,7 @@
         noteTail(*each.step, *copy, ratio, figures);
         worker.serving.push_back({ spec.image, each.step->wave, copy->bias });
     }
-    worker.sampleAt = figures.at;
+    worker.figuresAt = figures.at;
     worker.beside = std::move(figures.beside);
     if (!over)
         worker.overSince = 0;
@@ -186,13 +198,15 @@
     if (now - periodSoughtAt < (swingPeriod > 0 ? 5 * periodEveryMs : periodEveryMs))
         return;
     periodSoughtAt = now;
+    std::vector<step_run*> serving;
     std::vector<const load_history*> histories;
     double typical = 0;
     for (const auto& [id, job] : jobs) {
         for (const auto& [number, live] : job->live) {
-            for (const step_run& step : live->steps) {
+            for (step_run& step : live->steps) {
                 if (!step.ownLoads)
                     continue;
+                serving.push_back(&step);
                 histories.push_back(step.ownLoads.get());
                 typical += pressure.ownLoad(step.spec->image);
             }
@@ -206,6 +220,9 @@
     if (!agree || *found == swingPeriod)
         return;
     swingPeriod = *found;
+    // A wave tells nothing under another period.
+    for (step_run* step : serving)
+        step->wave = step->ownLoads->fit(swingPeriod, pressure.ownLoad(step->spec->image));
     log(log_line("swing_period")
             .add("period_ms", static_cast<int64_t>(swingPeriod))
             .add("histories", static_cast<int64_t>(histories.size())));
