--- a/src/jobs/process/cell_model.h
+++ b/src/jobs/process/cell_model.h
@@ -172,6 +172,7 @@
     ms answeredAt = 0;
     int failedLooks = 0;
     uint64_t reports = 0;
+    int unknownRuns = 0; // In the last report. What they take is not known, so nothing is placed beside them.
     uint64_t processed = 0; // Ends taken up, by number.
     uint64_t acknowledged = 0; // Ends whose records are durable.
 
--- a/src/jobs/process/cell_workers.cpp
+++ b/src/jobs/process/cell_workers.cpp
@@ -270,6 +270,7 @@
             worker.acknowledged = has(cell_fault::acknowledge_early) ? each.number : worker.acknowledged;
         }
     }
+    worker.unknownRuns = 0;
     for (const running_task& each : report.running)
         noteRunning(worker, each);
     if (report.ended.size() < mostEndsListed)
@@ -285,6 +286,7 @@
         copy = nullptr;
     if (!copy) {
         // Nothing recorded asks for it. It must end before its task is started anywhere.
+        worker.unknownRuns++;
         log(log_line("unknown_run")
                 .add("task", seen.task.str())
                 .add("run", seen.run)
--- a/tests/jobs/jobs_test.cpp
+++ b/tests/jobs/jobs_test.cpp
@@ -242,6 +242,28 @@
     BOOST_TEST(orderToken(6, 0) > orderToken(5, again[0].life));
 }
 
+// A run that no record asks for takes room until it has ended (worlds, seed 63828: a worker without a guard was
+// given more than it has after the owner that had cancelled the run's job was replaced).
+BOOST_AUTO_TEST_CASE(nothing_is_placed_beside_an_unknown_run)
+{
+    driven d;
+    d.scheduler.addJob("j", oneStep(1));
+    d.scheduler.setWorker(worker("w"), d.now);
+    d.scheduler.begin(d.now, d.now);
+    d.step();
+    worker_report report;
+    report.running.push_back({ { "earlier", 0, 0, 0 }, 1, "", 10, 900 });
+    for (int i = 0; i < 10; i++) {
+        d.report("w", report);
+        d.step();
+        BOOST_TEST(d.take<start_action>().empty());
+    }
+    BOOST_TEST(!d.take<stop_action>().empty());
+    d.report("w", {});
+    d.step();
+    BOOST_TEST(d.take<start_action>().size() == 1);
+}
+
 // A worker that answers and does no work: its tasks go on elsewhere, and nothing new is placed there.
 BOOST_AUTO_TEST_CASE(tasks_leave_a_worker_that_stands_still)
 {
