--- a/src/jobs/process/cell_placing.cpp
+++ b/src/jobs/process/cell_placing.cpp
@@ -89,7 +89,8 @@
 bool cell_model::usable(const worker_state& worker) const
 {
     return worker.listed && worker.adopted && !worker.info.draining && worker.shunnedUntil <= now
-        && worker.failedLooks == 0 && worker.unknownRuns == 0 && now - worker.answeredAt < settings.lookWaitMs + freshMs;
+        && worker.failedLooks == 0 && worker.unknownRuns == 0
+        && now - worker.answeredAt < settings.lookWaitMs + freshMs;
 }
 
 // Whether the step may run there at all, room left aside.
