--- a/tests/jobs/jobs_test.cpp
+++ b/tests/jobs/jobs_test.cpp
@@ -242,8 +242,8 @@
     BOOST_TEST(orderToken(6, 0) > orderToken(5, again[0].life));
 }
 
-// A run that no record asks for takes room until it has ended (worlds, seed 63828: a worker without a guard was
-// given more than it has after the owner that had cancelled the run's job was replaced).
+// A run that no record asks for takes room until it has ended (worlds, seed 63828: a worker without a guard
+// was given more than it has after the owner that had cancelled the run's job was replaced).
 BOOST_AUTO_TEST_CASE(nothing_is_placed_beside_an_unknown_run)
 {
     driven d;
