Choosing a worker for a filler costs no searches by name

For each task, 490 workers were asked for an expected pace by a search of strings, for each size of filler anew, and the use of their fillers was summed twice. Change: kinds of fillers (image and size in steps of half a core) are numbered, what serving tasks bear is summed once for each change of a worker, own loads to come once for each figure; the pass over the queue comes every 61 ms at 490 workers (15 ms up to 120); a worker looks for a better place for a held-back filler at most twice a second.

--- a/src/jobs/process/cell_model.h
+++ b/src/jobs/process/cell_model.h
@@ -5,6 +5,7 @@
 #include "jobs/process/filler_history.h"
 #include "jobs/process/load_forecast.h"
 
+#include <array>
 #include <deque>
 
 namespace camphorwell {
@@ -85,6 +86,7 @@
     bool adviceAsked = false;
     ms adviceAgainAt = 0;
     std::set<worker_id> adviceRefused;
+    int fillerKind = -1; // Place among `fillerKinds`; below 0: not looked up yet.
     double speed = 1; // Of its tasks against the estimate, lately.
     std::unique_ptr<load_history> ownLoads; // Of serving tasks.
     load_wave wave;
@@ -124,16 +126,18 @@
     uint32_t run = 0;
 };
 
+constexpr int paceSteps = 6; // Half seconds over which the pace of a filler is expected.
+
 // A serving task, as the last figures tell of it.
 struct serving_figure {
     std::string image;
     load_wave wave;
     double bias = 0;
+    std::array<double, paceSteps> ownLoads {}; // To come, from the time of the figures.
 };
 
-// A serving task that a filler would disturb.
-struct disturbed_task {
-    const serving_figure* serving = nullptr;
+// What fillers do to a serving task.
+struct borne_strain {
     double free = 0; // Strain up to its limit, harmless fillers taken off.
     double wanted = 0; // Strain by those that disturb it, at full pace.
 };
@@ -156,14 +160,22 @@
     int64_t servingCpu = 0; // Booked by lasting tasks, which use a part of it.
     std::vector<serving_figure> serving; // As of the last sample.
     filler_history fillers;
-    // By image and processors of a filler. Empty after a change of what runs there.
-    mutable std::map<std::pair<std::string, int64_t>, double> expectedPaces;
+    // For each of `serving`, and paces by kind of filler, below 0 where not known. Forgotten after a change
+    // of what runs there.
+    mutable std::vector<borne_strain> borne;
+    mutable std::vector<float> expectedPaces;
+    void forgetPaces()
+    {
+        borne.clear();
+        expectedPaces.clear();
+    }
     ms sampledAt = 0;
     ms figuresAt = 0; // Time of the newest figures that were used,
     std::vector<interference::neighbour> beside; // and what ran then.
     ms overSince = 0; // Since when a serving task is over its target; 0: none is.
     double suitedShare = 0; // Of the demand of fillers, the part that would disturb nothing there.
     ms fillersChangedAt = 0;
+    ms moveSoughtAt = 0; // When another worker for a filler was last looked for.
 
     uint32_t life = 0; // Lives that this owner has seen.
     ms lifeMetAt = 0;
@@ -205,6 +217,9 @@
     std::shared_ptr<const queue_table> queues;
     decision_log log;
     interference pressure;
+    // Images and sizes of fillers, in steps; those alike have one place, so that a pace is found without a
+    // search.
+    std::map<std::pair<std::string, int64_t>, int> fillerKinds;
     double swingPeriod = 0; // Of the own loads; 0: not known.
     double periodSeen = 0; // By the last search.
     ms periodSoughtAt = 0;
@@ -299,7 +314,7 @@
     bool usable(const worker_state&) const;
     bool allowed(const step_run&, const queue_policy&, const worker_state&) const;
     double scoreOf(const step_run&, const task_run&, const worker_state&) const;
-    bool fillerFits(const worker_state&, const step_spec&, ms waited) const;
+    bool fillerFits(const worker_state&, const step_run&, ms waited) const;
     static bool hasLeftOver(const worker_state&, const step_spec&);
     static int64_t leftForFillers(const worker_state&);
     void askAdvice(step_run&);
@@ -317,8 +332,9 @@
     void findPeriod();
     void weighWorkers();
     double ownLoad(const serving_figure&, ms ahead, double biasKept) const;
-    std::vector<disturbed_task> disturbedBy(const worker_state&, const step_spec& filler) const;
-    double expectedPace(const worker_state&, const step_spec& filler) const;
+    void weighBorne(const worker_state&) const;
+    double expectedPace(const worker_state&, const step_run& filler) const;
+    int kindOf(step_run&);
     // `free`: strain that the serving task that is worst off can still bear, for the log.
     void setPace(worker_state&, const placement&, task_copy&, int percent, double free);
     bool overByFillers(const worker_state&) const;
--- a/src/jobs/process/cell_placing.cpp
+++ b/src/jobs/process/cell_placing.cpp
@@ -18,7 +18,9 @@
 
 namespace {
 
-    constexpr ms placeEveryMs = 15; // What comes within it is placed together.
+    constexpr ms placeEveryMs = 15; // What comes within it is placed together;
+    constexpr int64_t workersAMs
+        = 8; // and longer, by a millisecond for so many workers, so that a pass stays cheap.
     constexpr ms orderEveryMs = 400; // Period in which deadlines that have passed change the order.
     constexpr double servingUse = 0.45; // Share of their booked processors that lasting tasks use.
     constexpr double fillerRoom = 0.9; // A filler needs this share of its processors left over.
@@ -115,9 +117,7 @@
 int64_t cell_model::leftForFillers(const worker_state& worker)
 {
     auto unused = static_cast<int64_t>(static_cast<double>(worker.servingCpu) * (1 - servingUse));
-    double inUse = 0;
-    for (const auto& [image, share] : worker.fillers.current())
-        inUse += share * static_cast<double>(worker.info.capacity.cpuMilli);
+    double inUse = worker.fillers.inUse() * static_cast<double>(worker.info.capacity.cpuMilli);
     return worker.info.capacity.cpuMilli - worker.booked.cpuMilli + unused - static_cast<int64_t>(inUse);
 }
 
@@ -127,14 +127,14 @@
 }
 
 // Whether a filler finds processors left over there and gets on without disturbing a serving task.
-bool cell_model::fillerFits(const worker_state& worker, const step_spec& spec, ms waited) const
+bool cell_model::fillerFits(const worker_state& worker, const step_run& step, ms waited) const
 {
-    if (!hasLeftOver(worker, spec))
+    if (!hasLeftOver(worker, *step.spec))
         return false;
     if (roomy && waited >= lastPatienceMs)
         return true;
     return !overByFillers(worker)
-        && expectedPace(worker, spec) >= (waited >= patienceMs ? paceAccepted : paceWanted);
+        && expectedPace(worker, step) >= (waited >= patienceMs ? paceAccepted : paceWanted);
 }
 
 // The greater, the better the step's next task is placed there.
@@ -143,7 +143,7 @@
     const step_spec& spec = *step.spec;
     double score = -static_cast<double>(worker.room().cpuMilli);
     if (spec.filler)
-        score = static_cast<double>(leftForFillers(worker)) + paceWeight * expectedPace(worker, spec)
+        score = static_cast<double>(leftForFillers(worker)) + paceWeight * expectedPace(worker, step)
             - suitedWeight * worker.suitedShare;
     if (spec.lasting) {
         int copies = copiesOn(step, worker);
@@ -166,6 +166,8 @@
     const queue_policy* policy = policyOf(*step.job);
     if (!policy)
         return nullptr;
+    if (spec.filler)
+        kindOf(step);
     resources need = bookingOf(spec);
     ms waited = now - task.waitingSince;
     worker_state* best = nullptr;
@@ -174,7 +176,7 @@
         worker_state& worker = *held;
         if (!usable(worker) || (rack && worker.info.rack != *rack) || !need.fits(worker.room()))
             continue;
-        if (spec.filler && !fillerFits(worker, spec, waited))
+        if (spec.filler && !fillerFits(worker, step, waited))
             continue;
         if (!allowed(step, *policy, worker))
             continue;
@@ -255,8 +257,7 @@
             }
             task.waiting = false;
             uint32_t run = task.lastRun + 1;
-            auto pace
-                = static_cast<int64_t>(step.spec->filler ? 100 * expectedPace(*worker, *step.spec) : 100);
+            auto pace = static_cast<int64_t>(step.spec->filler ? 100 * expectedPace(*worker, step) : 100);
             task_copy& copy = place(step, index, *worker, run);
             if (auto found = step.tickets.find(worker->info.id); found != step.tickets.end())
                 copy.ticket = found->second.value;
@@ -280,7 +281,8 @@
 
 void cell_model::placeWaiting()
 {
-    if (!begun || !mayGrant || now - placedAt < placeEveryMs)
+    ms pause = std::max<ms>(placeEveryMs, static_cast<ms>(workers.size()) / workersAMs);
+    if (!begun || !mayGrant || now - placedAt < pause)
         return;
     placedAt = now;
     placeNeeded = false;
--- a/src/jobs/process/cell_sharing.cpp
+++ b/src/jobs/process/cell_sharing.cpp
@@ -37,8 +37,10 @@
     // A filler of at most this pressure on a serving task is not held back. Measured pairs are under 0.3 or
     // over 0.8.
     constexpr double harmless = 0.45;
-    constexpr int horizonSteps = 6; // Of sampleMs, over which the pace of a filler is expected.
+    constexpr int64_t sizeStep = 500; // Thousandths of a core.
     constexpr ms evictAfterMs = 2000; // At a low pace for so long.
+    constexpr ms seekMoveEveryMs
+        = 500; // A worker's fillers are compared with other workers at most so often.
     constexpr int evictPercent = 30; // At or under this a pace is low.
     constexpr double evictBelow = 0.4; // Expected pace under which a filler leaves,
     constexpr double evictFor = 0.8; // when another worker promises this.
@@ -83,54 +85,67 @@
     return serving.wave.at(now + ahead + unixOffset, swingPeriod) + kept * serving.bias;
 }
 
-// The serving tasks that a filler would disturb there: what strain is left for all that disturb them, before
-// their own load, and how much that is when every filler runs at full pace, the new one among them.
-std::vector<disturbed_task> cell_model::disturbedBy(const worker_state& worker, const step_spec& filler) const
+// What strain each serving task there has left, and what all that disturb it want at full pace.
+void cell_model::weighBorne(const worker_state& worker) const
 {
-    std::vector<disturbed_task> out;
     for (const auto& serving : worker.serving) {
-        double pressing = pressure.pressure(filler.image, serving.image);
-        if (pressing <= harmless)
-            continue;
-        disturbed_task each { &serving, pressure.limit(serving.image) - margin,
-            pressing * shareOf(filler, worker) };
+        borne_strain each { pressure.limit(serving.image) - margin, 0 };
         for (const auto& [image, share] : worker.fillers.unpaced()) {
-            double other = pressure.pressure(image, serving.image);
-            if (other <= harmless)
-                each.free -= other * share;
+            double pressing = pressure.pressure(image, serving.image);
+            if (pressing <= harmless)
+                each.free -= pressing * share;
             else
-                each.wanted += other * share;
+                each.wanted += pressing * share;
         }
-        out.push_back(each);
+        worker.borne.push_back(each);
     }
-    return out;
+}
+
+int cell_model::kindOf(step_run& filler)
+{
+    if (filler.fillerKind < 0) {
+        int64_t steps = (filler.spec->cpuMilli + sizeStep - 1) / sizeStep;
+        auto next = static_cast<int>(fillerKinds.size());
+        filler.fillerKind = fillerKinds.try_emplace({ filler.spec->image, steps }, next).first->second;
+    }
+    return filler.fillerKind;
 }
 
 // The pace that a filler can expect over the seconds to come, were every filler there let go as far as the
-// serving tasks bear; 1 where it disturbs none.
-double cell_model::expectedPace(const worker_state& worker, const step_spec& filler) const
+// serving tasks bear; 1 where it disturbs none. Fillers of about the same size are taken for the same.
+double cell_model::expectedPace(const worker_state& worker, const step_run& filler) const
 {
-    auto [cached, fresh] = worker.expectedPaces.try_emplace({ filler.image, filler.cpuMilli }, 1);
-    if (!fresh)
-        return cached->second;
-    auto disturbed = disturbedBy(worker, filler);
-    double sum = 0;
-    for (int i = 0; i < horizonSteps; i++) {
-        double pace = 1;
-        for (const auto& each : disturbed) {
-            double free = each.free - ownLoad(*each.serving, i * sampleMs + sampleMs / 2, biasKeptLater);
-            pace = std::min(pace, std::max(0.0, free / each.wanted));
+    if (worker.serving.empty() || filler.fillerKind < 0)
+        return 1;
+    auto kind = static_cast<size_t>(filler.fillerKind);
+    if (worker.expectedPaces.size() <= kind)
+        worker.expectedPaces.resize(fillerKinds.size(), -1);
+    float& cached = worker.expectedPaces[kind];
+    if (cached >= 0)
+        return cached;
+    if (worker.borne.empty())
+        weighBorne(worker);
+    double share = shareOf(*filler.spec, worker);
+    std::array<double, paceSteps> paces;
+    paces.fill(1);
+    for (size_t i = 0; i < worker.serving.size(); i++) {
+        double pressing = pressure.pressure(filler.spec->image, worker.serving[i].image);
+        if (pressing <= harmless)
+            continue;
+        double wanted = worker.borne[i].wanted + pressing * share;
+        for (size_t k = 0; k < paces.size(); k++) {
+            double free = worker.borne[i].free - worker.serving[i].ownLoads[k];
+            paces[k] = std::min(paces[k], std::max(0.0, free / wanted));
         }
-        sum += pace;
     }
-    cached->second = sum / horizonSteps;
-    return cached->second;
+    cached = static_cast<float>(std::accumulate(paces.begin(), paces.end(), 0.0) / paceSteps);
+    return cached;
 }
 
 void cell_model::sample(worker_state& worker)
 {
     worker.serving.clear();
-    worker.expectedPaces.clear();
+    worker.forgetPaces();
     worker.fillers.forgetBefore(now - historyMs);
     sharing_figures figures;
     figures.at = worker.answeredAt;
@@ -146,7 +161,11 @@
         double ratio = static_cast<double>(copy->load) / static_cast<double>(spec.tailTargetMs);
         over |= ratio > 1;
         noteTail(*each.step, *copy, ratio, figures);
-        worker.serving.push_back({ spec.image, each.step->wave, copy->bias });
+        serving_figure figure { spec.image, each.step->wave, copy->bias, {} };
+        for (int i = 0; i < paceSteps; i++)
+            figure.ownLoads[static_cast<size_t>(i)]
+                = ownLoad(figure, i * sampleMs + sampleMs / 2, biasKeptLater);
+        worker.serving.push_back(std::move(figure));
     }
     worker.figuresAt = figures.at;
     worker.beside = std::move(figures.beside);
@@ -270,7 +289,7 @@
 void cell_model::setPace(worker_state& worker, const placement& at, task_copy& copy, int percent, double free)
 {
     worker.fillers.pace(keyOf(at), percent, now + settings.paceMs);
-    worker.expectedPaces.clear();
+    worker.forgetPaces();
     copy.pace = percent;
     if (percent > evictPercent)
         copy.slowSince = 0;
@@ -347,11 +366,15 @@
         if (percent != copy->pace)
             setPace(worker, at, *copy, percent, least);
     }
+    if (now - worker.moveSoughtAt < seekMoveEveryMs)
+        return;
     for (auto& [at, copy] : fillers) {
-        if (copy->slowSince != 0 && now - copy->slowSince > evictAfterMs && movesWell(worker, *at.step)) {
+        if (copy->slowSince == 0 || now - copy->slowSince <= evictAfterMs)
+            continue;
+        worker.moveSoughtAt = now;
+        if (movesWell(worker, *at.step))
             doom(*at.step, at.index, *copy, "disturbs_serving");
-            return;
-        }
+        return;
     }
 }
 
@@ -359,13 +382,13 @@
 bool cell_model::movesWell(const worker_state& worker, const step_run& step) const
 {
     const step_spec& spec = *step.spec;
-    if (!spec.checkpoints || expectedPace(worker, spec) >= evictBelow)
+    if (!spec.checkpoints || expectedPace(worker, step) >= evictBelow)
         return false;
     resources need = bookingOf(spec);
     return std::any_of(workers.begin(), workers.end(), [&](const auto& each) {
         const worker_state& other = *each.second;
         return usable(other) && need.fits(other.room()) && hasLeftOver(other, spec)
-            && expectedPace(other, spec) >= evictFor;
+            && expectedPace(other, step) >= evictFor;
     });
 }
 
--- a/src/jobs/process/cell_workers.cpp
+++ b/src/jobs/process/cell_workers.cpp
@@ -421,7 +421,7 @@
     const step_spec& spec = *step.spec;
     worker.booked = worker.booked + bookingOf(spec);
     worker.fillerCpu += spec.filler ? spec.cpuMilli : 0;
-    worker.expectedPaces.clear();
+    worker.forgetPaces();
     worker.fillersChangedAt = spec.filler ? now : worker.fillersChangedAt;
     worker.servingCpu += spec.lasting ? spec.cpuMilli : 0;
     worker.placed.push_back({ &step, index, run });
@@ -450,7 +450,7 @@
     const step_spec& spec = *step.spec;
     worker.booked = worker.booked - bookingOf(spec);
     worker.fillerCpu -= spec.filler ? spec.cpuMilli : 0;
-    worker.expectedPaces.clear();
+    worker.forgetPaces();
     worker.fillers.end({ &step, index, run }, now);
     worker.fillersChangedAt = spec.filler ? now : worker.fillersChangedAt;
     worker.servingCpu -= spec.lasting ? spec.cpuMilli : 0;
--- a/src/jobs/process/filler_history.cpp
+++ b/src/jobs/process/filler_history.cpp
@@ -17,6 +17,7 @@
     m_entries.push_back({ which, image, share, { { now, 100 } }, 0 });
     m_current[image] += share;
     m_unpaced[image] += share;
+    m_inUse += share;
 }
 
 void filler_history::pace(const key& which, int percent, int64_t at)
@@ -24,7 +25,9 @@
     entry* found = find(which);
     if (!found)
         return;
-    m_current[found->image] += found->share * (percent - found->paces.back().percent) / 100;
+    double more = found->share * (percent - found->paces.back().percent) / 100;
+    m_current[found->image] += more;
+    m_inUse += more;
     found->paces.push_back({ at, percent });
 }
 
@@ -34,6 +37,7 @@
     if (!found)
         return;
     m_current[found->image] -= found->share * found->paces.back().percent / 100;
+    m_inUse -= found->share * found->paces.back().percent / 100;
     m_unpaced[found->image] -= found->share;
     found->endedAt = now;
 }
@@ -43,6 +47,7 @@
     m_entries.clear();
     m_current.clear();
     m_unpaced.clear();
+    m_inUse = 0;
 }
 
 std::vector<interference::neighbour> filler_history::between(int64_t from, int64_t to) const
--- a/src/jobs/process/filler_history.h
+++ b/src/jobs/process/filler_history.h
@@ -26,6 +26,8 @@
     // Shares that will be in use when all paces are in effect, by image; and were every pace 100.
     const std::map<std::string, double>& current() const { return m_current; }
     const std::map<std::string, double>& unpaced() const { return m_unpaced; }
+    // Share of all fillers together when all paces are in effect.
+    double inUse() const { return m_inUse; }
     // Forgets what ended before `then`.
     void forgetBefore(int64_t then);
 
@@ -44,6 +46,7 @@
     entry* find(const key&);
     std::vector<entry> m_entries;
     std::map<std::string, double> m_current, m_unpaced;
+    double m_inUse = 0;
 };
 
 } // namespace camphorwell
