--- a/src/jobs/process/cell_placing.cpp
+++ b/src/jobs/process/cell_placing.cpp
@@ -5,11 +5,12 @@
 // past three times the objective last. Answers the load of a full service: room goes to the work that still
 // helps its caller.
 //
-// Choice: lasting tasks go beside others of their image, which fillers disturb alike, at most about a third of a
-// job together, so that the loss of a worker costs each job little. Among those, and for all others that book
-// processors, the tightest fit is taken, which keeps large holes for large tasks. Fillers book no processors; they
-// go where they can expect the most pace and the others leave most, and leave workers that suit many fillers to
-// those that find few. Slow workers, racks far from the data and the worker where the task failed last come last.
+// Choice: lasting tasks go beside others of their image, which fillers disturb alike, at most about a third
+// of a job together, so that the loss of a worker costs each job little. Among those, and for all others that
+// book processors, the tightest fit is taken, which keeps large holes for large tasks. Fillers book no
+// processors; they go where they can expect the most pace and the others leave most, and leave workers that
+// suit many fillers to those that find few. Slow workers, racks far from the data and the worker where the
+// task failed last come last.
 #include "jobs/process/cell_model.h"
 
 #include <algorithm>
