Progress of an earlier owner's tasks is measured too

Cause: read in the diff: a restored task counted as of unknown pace, also where it is no filler, and progress is only measured at a known pace. So after a takeover tasks stayed on a worker that stands still. Change: only fillers' paces count as unknown. Test: tasks_of_an_earlier_owner_leave_it_too, which fails before.

--- a/src/jobs/process/cell_workers.cpp
+++ b/src/jobs/process/cell_workers.cpp
@@ -300,7 +300,7 @@
         copy->phase = copy_phase::running;
         copy->percentAt = now;
     }
-    if (restored)
+    if (restored && step->spec->filler)
         copy->pace = task_copy::paceUnknown;
     noteProgress(worker, *step, *copy, seen.percent);
     if (seen.percent != copy->percent) {
--- a/tests/jobs/jobs_test.cpp
+++ b/tests/jobs/jobs_test.cpp
@@ -264,22 +264,28 @@
     BOOST_TEST(d.take<start_action>().size() == 1);
 }
 
-// A worker that answers and does no work: its tasks go on elsewhere, and nothing new is placed there.
-BOOST_AUTO_TEST_CASE(tasks_leave_a_worker_that_stands_still)
-{
-    driven d;
-    job_record job = oneStep(4);
-    job.spec.steps[0].estimateMs = 3'000;
-    job.spec.steps[0].maxPerWorker = 2;
-    d.scheduler.addJob("j", job);
-    for (const char* id : { "w1", "w2", "w3" })
-        d.scheduler.setWorker(worker(id), d.now);
-    d.scheduler.begin(d.now, d.now);
+// Three workers, of which the one that gets the first task does no work.
+struct fleet_with_a_still_worker {
     std::map<worker_id, worker_report> reports { { "w1", {} }, { "w2", {} }, { "w3", {} } };
-    std::map<std::string, std::pair<worker_id, ms>> startedAt;
-    worker_id still; // Where the first task went.
-    bool left = false;
-    auto turn = [&] {
+    std::map<std::string, std::pair<worker_id, ms>> startedAt; // By task.
+    worker_id still;
+    bool left = false; // A task of the still worker was started elsewhere.
+
+    static job_record job()
+    {
+        job_record out = oneStep(4);
+        out.spec.steps[0].estimateMs = 3'000;
+        out.spec.steps[0].maxPerWorker = 2;
+        return out;
+    }
+    void begin(driven& d) const
+    {
+        for (const auto& [id, report] : reports)
+            d.scheduler.setWorker(worker(id), d.now);
+        d.scheduler.begin(d.now, d.now);
+    }
+    void turn(driven& d)
+    {
         d.step();
         for (const auto& start : d.take<start_action>()) {
             still = still.empty() ? start.worker : still;
@@ -304,11 +310,44 @@
             }
             d.report(id, report);
         }
-    };
+    }
+};
+
+// A worker that answers and does no work: its tasks go on elsewhere, and nothing new is placed there.
+BOOST_AUTO_TEST_CASE(tasks_leave_a_worker_that_stands_still)
+{
+    driven d;
+    fleet_with_a_still_worker fleet;
+    d.scheduler.addJob("j", fleet.job());
+    fleet.begin(d);
     for (int i = 0; i < 150; i++)
-        turn();
-    BOOST_TEST(left);
-    BOOST_TEST(reports[still].running.empty());
+        fleet.turn(d);
+    BOOST_TEST(fleet.left);
+    BOOST_TEST(fleet.reports[fleet.still].running.empty());
+}
+
+// The same for tasks that an earlier owner started: their pace counted as unknown, which kept their progress
+// from being measured.
+BOOST_AUTO_TEST_CASE(tasks_of_an_earlier_owner_leave_it_too)
+{
+    driven first;
+    fleet_with_a_still_worker fleet;
+    first.scheduler.addJob("j", fleet.job());
+    fleet.begin(first);
+    for (int i = 0; i < 10; i++)
+        fleet.turn(first);
+    BOOST_REQUIRE(fleet.startedAt.size() == 4);
+    driven second;
+    second.now = first.now;
+    second.scheduler.setClock(second.now, second.now);
+    for (const auto& [id, bytes] : first.progress)
+        second.scheduler.restoreProgress(id, bytes);
+    second.scheduler.addJob("j", fleet.job());
+    fleet.begin(second);
+    for (int i = 0; i < 150; i++)
+        fleet.turn(second);
+    BOOST_TEST(fleet.left);
+    BOOST_TEST(fleet.reports[fleet.still].running.empty());
 }
 
 // A filler that had just come and found every worker strained kept one that had waited long enough from being
