Read again: one notion of the store's silence, one share, shared set-ups

Cause: reading the whole change.

Change: the store's client tells the age of its last answer; each choice observes the silence as it is; shareOf is the worker's; servingJob and fillerJob in driven.h. No check is changed.

--- a/src/jobs/process/cell.h
+++ b/src/jobs/process/cell.h
@@ -41,7 +41,6 @@
     int advisedAtOnce = 30; // Workers named in one call for advice.
     cell_fault fault = cell_fault::none;
     double remoteFactor = 1.5; // Work far from its data takes so many times as long.
-    bool operator==(const cell_settings&) const = default;
 };
 
 struct write_batch {
--- a/src/jobs/process/cell_model.h
+++ b/src/jobs/process/cell_model.h
@@ -203,6 +203,12 @@
 
     ms workerNow(ms now) const { return clockWorkerMs + (now - clockAt); }
     resources room() const { return info.capacity - booked; }
+    // What a task of that size uses of the worker's processors.
+    double shareOf(const step_spec& spec) const
+    {
+        return static_cast<double>(spec.cpuMilli)
+            / static_cast<double>(std::max<int64_t>(1, info.capacity.cpuMilli));
+    }
 };
 
 struct cell_model {
--- a/src/jobs/process/cell_sharing.cpp
+++ b/src/jobs/process/cell_sharing.cpp
@@ -57,12 +57,6 @@
 
     double coresOf(const step_spec& spec) { return static_cast<double>(spec.cpuMilli) / 1000; }
 
-    double shareOf(const step_spec& spec, const worker_state& worker)
-    {
-        return static_cast<double>(spec.cpuMilli)
-            / static_cast<double>(std::max<int64_t>(1, worker.info.capacity.cpuMilli));
-    }
-
     // By how much the shares are greater than `kept` of what they were.
     std::vector<interference::neighbour> risesOf(const std::vector<interference::neighbour>& before,
         const std::vector<interference::neighbour>& after, double kept)
@@ -125,7 +119,7 @@
         return cached;
     if (worker.borne.empty())
         weighBorne(worker);
-    double share = shareOf(*filler.spec, worker);
+    double share = worker.shareOf(*filler.spec);
     std::array<double, paceSteps> paces;
     paces.fill(1);
     for (size_t i = 0; i < worker.serving.size(); i++) {
@@ -337,8 +331,8 @@
         = std::accumulate(free.begin(), free.end(), 1.0, [](double a, double b) { return std::min(a, b); });
     auto grant = [&](const step_spec& spec, int percent) {
         for (size_t i = 0; i < free.size(); i++)
-            free[i] -= pressure.pressure(spec.image, worker.serving[i].image) * shareOf(spec, worker)
-                * percent / 100;
+            free[i] -= pressure.pressure(spec.image, worker.serving[i].image) * worker.shareOf(spec) * percent
+                / 100;
     };
     auto disturbs = [&](const step_spec& spec) {
         return std::any_of(worker.serving.begin(), worker.serving.end(),
@@ -357,7 +351,7 @@
             continue;
         double pace = 100;
         for (size_t i = 0; i < free.size(); i++) {
-            double full = pressure.pressure(spec.image, worker.serving[i].image) * shareOf(spec, worker);
+            double full = pressure.pressure(spec.image, worker.serving[i].image) * worker.shareOf(spec);
             if (full > 0)
                 pace = std::min(pace, 100 * free[i] / full);
         }
--- a/src/jobs/process/cell_workers.cpp
+++ b/src/jobs/process/cell_workers.cpp
@@ -428,10 +428,7 @@
     task.lastRun = std::max(task.lastRun, run);
     step.job->started = true;
     if (spec.filler)
-        worker.fillers.start({ &step, index, run }, spec.image,
-            static_cast<double>(spec.cpuMilli)
-                / static_cast<double>(std::max<int64_t>(1, worker.info.capacity.cpuMilli)),
-            now);
+        worker.fillers.start({ &step, index, run }, spec.image, worker.shareOf(spec), now);
     task_copy copy;
     copy.run = run;
     copy.on = &worker;
--- a/src/jobs/process/filler_history.cpp
+++ b/src/jobs/process/filler_history.cpp
@@ -15,7 +15,6 @@
 void filler_history::start(const key& which, const std::string& image, double share, int64_t now)
 {
     m_entries.push_back({ which, image, share, { { now, 100 } }, 0 });
-    m_current[image] += share;
     m_unpaced[image] += share;
     m_inUse += share;
 }
@@ -25,9 +24,7 @@
     entry* found = find(which);
     if (!found)
         return;
-    double more = found->share * (percent - found->paces.back().percent) / 100;
-    m_current[found->image] += more;
-    m_inUse += more;
+    m_inUse += found->share * (percent - found->paces.back().percent) / 100;
     found->paces.push_back({ at, percent });
 }
 
@@ -36,7 +33,6 @@
     entry* found = find(which);
     if (!found)
         return;
-    m_current[found->image] -= found->share * found->paces.back().percent / 100;
     m_inUse -= found->share * found->paces.back().percent / 100;
     m_unpaced[found->image] -= found->share;
     found->endedAt = now;
@@ -45,7 +41,6 @@
 void filler_history::clear()
 {
     m_entries.clear();
-    m_current.clear();
     m_unpaced.clear();
     m_inUse = 0;
 }
--- a/src/jobs/process/filler_history.h
+++ b/src/jobs/process/filler_history.h
@@ -23,8 +23,7 @@
 
     // Mean share of the processors in use from `from` to `to`, by image.
     std::vector<interference::neighbour> between(int64_t from, int64_t to) const;
-    // Shares that will be in use when all paces are in effect, by image; and were every pace 100.
-    const std::map<std::string, double>& current() const { return m_current; }
+    // Shares that would be in use were every pace 100, by image.
     const std::map<std::string, double>& unpaced() const { return m_unpaced; }
     // Share of all fillers together when all paces are in effect.
     double inUse() const { return m_inUse; }
@@ -45,7 +44,7 @@
     };
     entry* find(const key&);
     std::vector<entry> m_entries;
-    std::map<std::string, double> m_current, m_unpaced;
+    std::map<std::string, double> m_unpaced;
     double m_inUse = 0;
 };
 
--- a/src/scheduler/process/cell_host.cpp
+++ b/src/scheduler/process/cell_host.cpp
@@ -96,7 +96,6 @@
             context.loop.after(retryMs, [this] { readClaims(); });
             return;
         }
-        context.storeOkAt = bootNow();
         observe(answer.items, answer.end);
         followClaims();
     });
@@ -133,7 +132,6 @@
             context.loop.after(retryMs, [this] { followClaims(); });
             return;
         }
-        context.storeOkAt = bootNow();
         std::vector<platform::keyed_item> items;
         for (const auto& record : answer.records) {
             if (auto item = platform::readKeyed(record))
@@ -193,7 +191,6 @@
         request, claimTimeoutMs, [this, step, sentAt, releasing](const platform::append_answer& answer) {
             switch (answer.outcome) {
             case platform::store_outcome::done:
-                context.storeOkAt = bootNow();
                 ownership.onAppended(step, answer.offset, sentAt, releasing);
                 break;
             case platform::store_outcome::conflict:
--- a/src/scheduler/process/cell_host_work.cpp
+++ b/src/scheduler/process/cell_host_work.cpp
@@ -64,7 +64,6 @@
             if (!holds(current))
                 return;
             if (answer.outcome == platform::store_outcome::done) {
-                context.storeOkAt = bootNow();
                 owned->onWritten(bootNow());
                 pump();
                 return;
@@ -197,7 +196,6 @@
                 again(current, retryMs, [this, current, partition] { followJobs(current, partition); });
                 return;
             }
-            context.storeOkAt = bootNow();
             tail.freshAt = sentAt;
             tail.next = answer.next;
             for (const auto& record : answer.records) {
@@ -239,7 +237,6 @@
                 return;
             }
             if (answer.outcome == platform::store_outcome::done) {
-                context.storeOkAt = bootNow();
                 workersNext = answer.next;
                 for (const auto& record : answer.records) {
                     if (auto item = platform::readKeyed(record))
--- a/src/scheduler/request/front.cpp
+++ b/src/scheduler/request/front.cpp
@@ -14,10 +14,11 @@
     constexpr ms askTimeoutMs = 600;
     constexpr ms askAgainMs = 100;
     constexpr ms unreadyMs = 800; // Without the store for so long, and without an instance that has it.
-    constexpr ms watchEveryMs = 50;
+    constexpr ms watchEveryMs = 50; // An eighth of the silence that counts.
     constexpr ms decideAgainMs = 40; // While others may still say whether they have the store.
-    constexpr size_t askedAtOnce = 4;
-    constexpr int retryAfterS = 1;
+    constexpr size_t askedAtOnce = 4; // Others, each time; half of another data centre.
+    constexpr int relaysAtMost = 2; // Of one record; each may take most of the caller's time.
+    constexpr int retryAfterS = 1; // Three or four tries within the 3 s that callers wait.
     constexpr size_t bodyBytesAtMost = 1 << 20;
     constexpr int64_t idleMs = 60'000;
     constexpr size_t waitingAtMost = 2000; // Records that wait for the log.
@@ -79,12 +80,19 @@
     return m_instances->listen(m_context.settings.address, m_context.settings.internalPort);
 }
 
+way_in front::wayIn()
+{
+    ms now = bootNow();
+    m_reach.observe(m_context.store.silentMs(), now);
+    return m_reach.choose(now);
+}
+
 // While the store is in trouble, asks some of the others in turn whether they have it.
 void front::watchStore()
 {
     ms now = bootNow();
     ms silent = m_context.store.silentMs();
-    m_reach.observe(silent, now);
+    wayIn();
     if (m_reach.troubled() && m_storeLostAt == 0) {
         m_storeLostAt = now - silent;
         m_context.log.writeAlways(log_line("store_lost")
@@ -143,7 +151,7 @@
     if (!body.empty())
         headers.emplace_back("Content-Type", "application/json");
     if (status == 503 || status == 429) {
-        bool elsewhere = m_reach.choose(bootNow()) == way_in::cut_off;
+        bool elsewhere = wayIn() == way_in::cut_off;
         headers.emplace_back("Retry-After", elsewhere ? "0" : std::to_string(retryAfterS));
     }
     if (m_leaving)
@@ -157,7 +165,7 @@
                                 .add("status", status)
                                 .add("why", why)
                                 .add("took_ms", bootNow() - call->receivedAt)
-                                .add("store_age_ms", bootNow() - m_context.storeOkAt));
+                                .add("store_age_ms", m_context.store.answerAgeMs()));
     call->reply->send(status, headers, body);
 }
 
@@ -222,21 +230,21 @@
 
 void front::record(const call_ptr& call)
 {
-    switch (m_reach.choose(bootNow())) {
+    switch (wayIn()) {
     case way_in::log:
         m_jobs.append(
             cellOf(call->id), call->key, call->value, call->deadline, [this, call](job_log::outcome got) {
                 call->maybeRecorded |= got == job_log::outcome::unknown;
                 if (got == job_log::outcome::accepted)
                     answer(call, 200, "", "recorded");
-                else if (m_reach.troubled() && bootNow() < call->deadline)
+                else if (wayIn() != way_in::log && bootNow() < call->deadline)
                     record(call);
                 else
                     refuse(call);
             });
         return;
     case way_in::peer:
-        if (call->relays < 2)
+        if (call->relays < relaysAtMost)
             return relay(call, m_reach.peer(bootNow()));
         return refuse(call);
     case way_in::undecided:
@@ -270,10 +278,10 @@
 // The final answer to what could not be recorded: 503 when it surely never will be.
 void front::refuse(const call_ptr& call)
 {
-    answer(call, call->maybeRecorded ? 504 : 503, "", toString(m_reach.choose(bootNow())));
+    answer(call, call->maybeRecorded ? 504 : 503, "", toString(wayIn()));
 }
 
-// Another instance, which has no store, hands a record on.
+// The other side of `relay`.
 void front::onRelayed(const http_request& asked, const std::shared_ptr<http_reply>& reply)
 {
     std::string key = asked.path.substr(std::string(recordPath).size());
@@ -330,7 +338,7 @@
 {
     if (call->reply->callerGone())
         return answer(call, 503, "", "caller_gone");
-    if (bootNow() + askAgainMs >= call->deadline || m_reach.choose(bootNow()) == way_in::cut_off)
+    if (bootNow() + askAgainMs >= call->deadline || wayIn() == way_in::cut_off)
         return answer(call, 503, "", "no_owner");
     auto retry = [this, call, again] {
         m_context.loop.after(askAgainMs, [this, call, again] {
--- a/src/scheduler/request/job_log.cpp
+++ b/src/scheduler/request/job_log.cpp
@@ -69,7 +69,6 @@
         request, appendTimeoutMs, [this, at, cell, batch](const platform::append_answer& answer) {
             m_busy[at] = false;
             if (answer.outcome == platform::store_outcome::done) {
-                m_context.storeOkAt = bootNow();
                 for (auto& each : *batch)
                     each.done(outcome::accepted);
                 flush(cell);
--- a/src/scheduler/scheduler.h
+++ b/src/scheduler/scheduler.h
@@ -80,7 +80,6 @@
     platform::store& store;
     event_log& log;
     counters& counts;
-    ms storeOkAt = 0; // When the store last answered.
 };
 
 // The configuration in force. Versions only rise.
@@ -201,6 +200,8 @@
     void relay(const call_ptr&, const std::string& address);
     void refuse(const call_ptr&);
     void watchStore();
+    // Where work can be accepted, by the silence of the store as it is now.
+    way_in wayIn();
     void tellState(const call_ptr&);
     void tellPending(const call_ptr&);
     cell_host& cellOfCall(const call_ptr&);
--- a/src/scheduler/version/catalogue.cpp
+++ b/src/scheduler/version/catalogue.cpp
@@ -25,7 +25,6 @@
             m_context.loop.after(retryMs, [this] { readNewest(); });
             return;
         }
-        m_context.storeOkAt = bootNow();
         for (const auto& each : answer.items)
             take(each);
         m_next = answer.end;
@@ -46,7 +45,6 @@
                 m_context.loop.after(retryMs, [this] { follow(); });
                 return;
             }
-            m_context.storeOkAt = bootNow();
             for (const auto& record : answer.records) {
                 if (auto item = platform::readKeyed(record))
                     take(*item);
--- a/tests/jobs/driven.h
+++ b/tests/jobs/driven.h
@@ -16,6 +16,24 @@
     return out;
 }
 
+// A task that serves its own users.
+inline job_record servingJob(ms tailTargetMs)
+{
+    job_record out = oneStep(1);
+    out.spec.steps[0].lasting = true;
+    out.spec.steps[0].image = "s";
+    out.spec.steps[0].tailTargetMs = tailTargetMs;
+    return out;
+}
+
+inline job_record fillerJob()
+{
+    job_record out = oneStep(1);
+    out.spec.steps[0].filler = true;
+    out.spec.steps[0].image = "f";
+    return out;
+}
+
 inline std::shared_ptr<queue_table> batchQueue()
 {
     auto table = std::make_shared<queue_table>();
--- a/tests/jobs/jobs_test.cpp
+++ b/tests/jobs/jobs_test.cpp
@@ -9,7 +9,9 @@
 using namespace camphorwell;
 using camphorwell::testing::batchQueue;
 using camphorwell::testing::driven;
+using camphorwell::testing::fillerJob;
 using camphorwell::testing::oneStep;
+using camphorwell::testing::servingJob;
 using camphorwell::testing::worker;
 using camphorwell::testing::world;
 using camphorwell::testing::world_settings;
@@ -355,13 +357,8 @@
 BOOST_AUTO_TEST_CASE(a_filler_that_has_waited_is_not_held_back_by_a_newer_one)
 {
     driven d;
-    job_record serving = oneStep(1);
-    serving.spec.steps[0].lasting = true;
-    serving.spec.steps[0].image = "s";
-    serving.spec.steps[0].tailTargetMs = 100;
-    job_record filler = oneStep(1);
-    filler.spec.steps[0].filler = true;
-    filler.spec.steps[0].image = "f";
+    job_record serving = servingJob(100);
+    job_record filler = fillerJob();
     d.scheduler.addJob("serving", serving);
     d.scheduler.setWorker(worker("w"), d.now);
     d.scheduler.begin(d.now, d.now);
@@ -402,9 +399,7 @@
 // gone (trouble-1 seed 273839101475).
 BOOST_AUTO_TEST_CASE(a_paused_filler_is_let_go_by_the_next_owner)
 {
-    job_record filler = oneStep(1);
-    filler.spec.steps[0].filler = true;
-    filler.spec.steps[0].image = "f";
+    job_record filler = fillerJob();
     driven first;
     first.scheduler.addJob("j", filler);
     first.scheduler.setWorker(worker("w"), first.now);
@@ -433,13 +428,8 @@
 BOOST_AUTO_TEST_CASE(a_paused_filler_is_let_go_when_no_serving_task_is_left)
 {
     driven d;
-    job_record serving = oneStep(1);
-    serving.spec.steps[0].lasting = true;
-    serving.spec.steps[0].image = "s";
-    serving.spec.steps[0].tailTargetMs = 100;
-    job_record filler = oneStep(1);
-    filler.spec.steps[0].filler = true;
-    filler.spec.steps[0].image = "f";
+    job_record serving = servingJob(100);
+    job_record filler = fillerJob();
     d.scheduler.addJob("serving", serving);
     d.scheduler.addJob("filler", filler);
     d.scheduler.setWorker(worker("w"), d.now);
