Pacing in steps with one job each; a filler without a checkpoint does not keep others from being moved

Cause: read again: paceFillers was 60 lines and looked each pair up three times; the filler that is due first was the only one considered for a move, also when it has no checkpoint and so is never moved. Change: the fillers at work with their strains, the free strains, the pace, the eviction: a function each; of those with a checkpoint.

--- a/src/jobs/process/cell_model.h
+++ b/src/jobs/process/cell_model.h
@@ -142,6 +142,14 @@
     double wanted = 0; // Strain by those that disturb it, at full pace.
 };
 
+// A filler at work, with the strain that it puts on each of the worker's `serving` at full pace.
+struct running_filler {
+    placement at;
+    task_copy* copy = nullptr;
+    std::vector<double> strains;
+    bool disturbs = false; // One of them more than is let pass.
+};
+
 // The fillers beside the serving tasks of a worker in the half second that its figures tell of.
 struct sharing_figures {
     ms at = 0;
@@ -345,7 +353,11 @@
     void setPace(worker_state&, const placement&, task_copy&, int percent, double free);
     bool overByFillers(const worker_state&) const;
     void pauseFillers(worker_state&);
+    std::vector<running_filler> fillersOn(worker_state&) const;
+    std::vector<double> freeStrains(const worker_state&) const;
     void paceFillers(worker_state&);
+    static int bearablePace(const running_filler&, const std::vector<double>& free);
+    void evictHeldBack(worker_state&, const std::vector<running_filler>&);
     bool movesWell(const worker_state&, const step_run&) const;
     void takeEarlierWave(step_run&);
 };
--- a/src/jobs/process/cell_sharing.cpp
+++ b/src/jobs/process/cell_sharing.cpp
@@ -309,74 +309,96 @@
     }
 }
 
-// Gives the fillers the pace that the serving tasks bear until the next figures.
-void cell_model::paceFillers(worker_state& worker)
+// The fillers that run there, those first whose work is due first.
+std::vector<running_filler> cell_model::fillersOn(worker_state& worker) const
 {
-    std::vector<std::pair<placement, task_copy*>> fillers;
+    std::vector<running_filler> out;
     for (const placement& each : worker.placed) {
-        task_copy* copy = each.step->spec->filler ? findCopy(each) : nullptr;
-        if (copy && copy->phase == copy_phase::running)
-            fillers.emplace_back(each, copy);
+        const step_spec& spec = *each.step->spec;
+        task_copy* copy = spec.filler ? findCopy(each) : nullptr;
+        if (!copy || copy->phase != copy_phase::running)
+            continue;
+        running_filler filler { each, copy, {}, false };
+        for (const auto& serving : worker.serving) {
+            double pressing = pressure.pressure(spec.image, serving.image);
+            filler.strains.push_back(pressing * worker.shareOf(spec));
+            filler.disturbs |= pressing > harmless;
+        }
+        out.push_back(std::move(filler));
     }
-    std::stable_sort(fillers.begin(), fillers.end(),
-        [](const auto& a, const auto& b) { return a.first.step->order < b.first.step->order; });
-    std::vector<double> free;
+    std::stable_sort(out.begin(), out.end(),
+        [](const auto& a, const auto& b) { return a.at.step->order < b.at.step->order; });
+    return out;
+}
+
+// Strain that each serving task there can still bear until the next figures.
+std::vector<double> cell_model::freeStrains(const worker_state& worker) const
+{
+    std::vector<double> out;
     for (const auto& serving : worker.serving) {
         double own = std::max(ownLoad(serving, settings.paceMs, biasKeptSoon),
             ownLoad(serving, settings.paceMs + sampleMs, biasKeptSoon));
-        free.push_back(pressure.limit(serving.image) - margin - own);
+        out.push_back(pressure.limit(serving.image) - margin - own);
     }
-    // Strain that the serving task that is worst off can still bear; 1 where there is none.
+    return out;
+}
+
+// Gives the fillers the pace that the serving tasks bear until the next figures.
+void cell_model::paceFillers(worker_state& worker)
+{
+    std::vector<running_filler> fillers = fillersOn(worker);
+    std::vector<double> free = freeStrains(worker);
+    // Of the serving task that is worst off; 1 where there is none.
     double least
         = std::accumulate(free.begin(), free.end(), 1.0, [](double a, double b) { return std::min(a, b); });
-    auto grant = [&](const step_spec& spec, int percent) {
+    auto grant = [&](running_filler& filler, int percent) {
         for (size_t i = 0; i < free.size(); i++)
-            free[i] -= pressure.pressure(spec.image, worker.serving[i].image) * worker.shareOf(spec) * percent
-                / 100;
-    };
-    auto disturbs = [&](const step_spec& spec) {
-        return std::any_of(worker.serving.begin(), worker.serving.end(),
-            [&](const auto& serving) { return pressure.pressure(spec.image, serving.image) > harmless; });
+            free[i] -= filler.strains[i] * percent / 100;
+        if (percent != filler.copy->pace)
+            setPace(worker, filler.at, *filler.copy, percent, least);
     };
-    for (auto& [at, copy] : fillers) {
-        if (disturbs(*at.step->spec))
-            continue;
-        grant(*at.step->spec, 100);
-        if (copy->pace < 100)
-            setPace(worker, at, *copy, 100, least);
+    for (running_filler& each : fillers) {
+        if (!each.disturbs)
+            grant(each, 100);
     }
-    for (auto& [at, copy] : fillers) {
-        const step_spec& spec = *at.step->spec;
-        if (!disturbs(spec))
-            continue;
-        double pace = 100;
-        for (size_t i = 0; i < free.size(); i++) {
-            double full = pressure.pressure(spec.image, worker.serving[i].image) * worker.shareOf(spec);
-            if (full > 0)
-                pace = std::min(pace, 100 * free[i] / full);
-        }
-        int percent = std::max(0, static_cast<int>(pace) / paceStep * paceStep);
-        grant(spec, percent);
-        if (percent != copy->pace)
-            setPace(worker, at, *copy, percent, least);
+    for (running_filler& each : fillers) {
+        if (each.disturbs)
+            grant(each, bearablePace(each, free));
     }
+    evictHeldBack(worker, fillers);
+}
+
+// The greatest pace at which the filler leaves every serving task its strain.
+int cell_model::bearablePace(const running_filler& filler, const std::vector<double>& free)
+{
+    double pace = 100;
+    for (size_t i = 0; i < free.size(); i++) {
+        if (filler.strains[i] > 0)
+            pace = std::min(pace, 100 * free[i] / filler.strains[i]);
+    }
+    return std::max(0, static_cast<int>(pace) / paceStep * paceStep);
+}
+
+void cell_model::evictHeldBack(worker_state& worker, const std::vector<running_filler>& fillers)
+{
     if (now - worker.moveSoughtAt < seekMoveEveryMs)
         return;
-    for (auto& [at, copy] : fillers) {
-        if (copy->slowSince == 0 || now - copy->slowSince <= evictAfterMs)
-            continue;
-        worker.moveSoughtAt = now;
-        if (movesWell(worker, *at.step))
-            doom(*at.step, at.index, *copy, "disturbs_serving");
+    auto held = std::find_if(fillers.begin(), fillers.end(), [&](const running_filler& each) {
+        return each.at.step->spec->checkpoints && each.copy->slowSince != 0
+            && now - each.copy->slowSince > evictAfterMs;
+    });
+    if (held == fillers.end())
         return;
-    }
+    worker.moveSoughtAt = now;
+    if (movesWell(worker, *held->at.step))
+        doom(*held->at.step, held->at.index, *held->copy, "disturbs_serving");
 }
 
-// Whether a filler of the step that is held back there would get on elsewhere.
+// Whether a filler of the step that is held back there, and has a checkpoint, would get on elsewhere.
 bool cell_model::movesWell(const worker_state& worker, const step_run& step) const
 {
     const step_spec& spec = *step.spec;
-    if (!spec.checkpoints || expectedPace(worker, step) >= evictBelow)
+    if (expectedPace(worker, step) >= evictBelow)
         return false;
     resources need = bookingOf(spec);
     return std::any_of(workers.begin(), workers.end(), [&](const auto& each) {
--- a/tests/jobs/sharing_test.cpp
+++ b/tests/jobs/sharing_test.cpp
@@ -256,7 +256,7 @@
     constexpr ms length = 4'000;
     constexpr uint64_t kinds = 14 * 4; // Each against each serving task,
     constexpr uint64_t sums = 2 * 4; // the sums for them,
-    constexpr uint64_t paces = 6 * 4 * 3; // and the pace of each filler.
+    constexpr uint64_t paces = 6 * 4; // and the pace of each filler.
     constexpr uint64_t figure = 2 * 4 + sums + paces + kinds;
     constexpr uint64_t start = sums + kinds;
     constexpr uint64_t most = 2 * figure + 2 * start;
