Gangs are chosen before anything is booked; images are dense; one scan of the workers a step

Cause: placeGang booked its members one by one and took them back when the last found no room, so a job whose gang was only tried counted as begun for ever (missing in Pending, told as running) and its run number rose at each try. A job has begun now when a worker has confirmed it, which goes into its record; a gang is planned as a whole, its members start together or not at all, and a lost member ends the others.

Cause: the owner compared strings for each pair of images and scanned all workers for each task. Images are interned, priors kept, candidates of a step are collected once and only the worker that was given a task is rated anew.

--- a/src/base/base.cpp
+++ b/src/base/base.cpp
@@ -30,8 +30,6 @@
 
 } // namespace
 
-bool resources::fits(const resources& available) const { return exceeds(available).empty(); }
-
 std::string_view resources::exceeds(const resources& available) const
 {
     if (cpuMilli > available.cpuMilli)
@@ -57,6 +55,11 @@
         slots - other.slots };
 }
 
+resources resources::operator*(int64_t times) const
+{
+    return { cpuMilli * times, memoryMb * times, accelerators * times, slots * times };
+}
+
 const std::vector<reason_info>& allReasons()
 {
     static const std::vector<reason_info> table = {
--- a/src/base/base.h
+++ b/src/base/base.h
@@ -40,11 +40,16 @@
     int64_t accelerators = 0; // Whole devices.
     int64_t slots = 0; // Concurrent tasks.
 
-    bool fits(const resources& available) const;
+    bool fits(const resources& available) const
+    {
+        return cpuMilli <= available.cpuMilli && memoryMb <= available.memoryMb
+            && accelerators <= available.accelerators && slots <= available.slots;
+    }
     // Name of the first dimension in which this exceeds `available`; empty when it fits.
     std::string_view exceeds(const resources& available) const;
     resources operator+(const resources&) const;
     resources operator-(const resources&) const;
+    resources operator*(int64_t times) const;
     bool operator==(const resources&) const = default;
 };
 
--- a/src/jobs/process/cell.cpp
+++ b/src/jobs/process/cell.cpp
@@ -236,6 +236,7 @@
         step.occurrence = number;
         step.number = static_cast<int>(i);
         step.spec = &job.record.spec.steps[i];
+        step.image = pressure.idOf(step.spec->image);
         step.tasks.resize(static_cast<size_t>(step.spec->count));
         step.undone = step.spec->count;
         takeEarlierWave(step);
--- a/src/jobs/process/cell_model.h
+++ b/src/jobs/process/cell_model.h
@@ -5,6 +5,7 @@
 #include "jobs/process/filler_history.h"
 #include "jobs/process/load_forecast.h"
 
+#include <algorithm>
 #include <array>
 #include <deque>
 
@@ -75,6 +76,7 @@
     int64_t occurrence = 0;
     int number = 0;
     const step_spec* spec = nullptr;
+    image_id image = 0;
     std::vector<task_run> tasks;
     int undone = 0;
     bool open = false; // All steps before it are done.
@@ -107,7 +109,7 @@
     bool haveRecord = false;
     job_state state = job_state::queued;
     job_state durableState = job_state::queued;
-    bool started = false;
+    bool started = false; // A worker has confirmed the start of a task.
     bool dirty = false;
     ms acceptedAt = 0;
     ms finishedAt = 0;
@@ -130,7 +132,7 @@
 
 // A serving task, as the last figures tell of it.
 struct serving_figure {
-    std::string image;
+    image_id image = 0;
     load_wave wave;
     double bias = 0;
     std::array<double, paceSteps> ownLoads {}; // To come, from the time of the figures.
@@ -162,6 +164,7 @@
     worker_record info;
     bool listed = false; // The platform lists it.
     bool adopted = false; // It has reported to this owner in its present life.
+    size_t place = 0; // Among all, by id.
     std::vector<placement> placed;
     resources booked; // Fillers book memory and accelerators only.
     int64_t fillerCpu = 0;
@@ -220,6 +223,15 @@
     }
 };
 
+// Workers chosen for the members of a gang, in the order of their indices. Nothing is booked by it.
+struct gang_plan {
+    std::vector<worker_state*> workers;
+    int on(const worker_state& worker) const
+    {
+        return static_cast<int>(std::count(workers.begin(), workers.end(), &worker));
+    }
+};
+
 struct cell_model {
     cell_model(cell_settings settings, std::shared_ptr<const queue_table> table, decision_log log)
         : settings(settings)
@@ -234,7 +246,7 @@
     interference pressure;
     // Images and sizes of fillers, in steps; those alike have one place, so that a pace is found without a
     // search.
-    std::map<std::pair<std::string, int64_t>, int> fillerKinds;
+    std::map<std::pair<image_id, int64_t>, int> fillerKinds;
     double swingPeriod = 0; // Of the own loads; 0: not known.
     double periodSeen = 0; // By the last search.
     ms periodSoughtAt = 0;
@@ -297,6 +309,7 @@
     std::optional<write_batch> takeWrite();
     void onWritten();
     void startWritten();
+    bool startable(const placement&) const;
     void retire();
 
     // cell_workers.cpp
@@ -317,6 +330,9 @@
     void removeCopy(step_run&, int index, worker_state&, uint32_t run);
     // Ends a copy that must not go on; the task is free again once the worker says so.
     void doom(step_run&, int index, task_copy&, std::string_view why);
+    // A gang that has lost a member ends as a whole, and is then placed anew.
+    void breakGang(step_run&, std::string_view why);
+    void noteStarted(job_run&);
     void sendStop(step_run&, int index, task_copy&);
     void dropUnlisted();
     void emptyDraining();
@@ -325,10 +341,22 @@
     void placeWaiting();
     bool placeStep(step_run&);
     bool placeGang(step_run&);
-    worker_state* chooseWorker(step_run&, const task_run&, const std::string* rack);
+    struct task_group {
+        int patience = 0;
+        const worker_state* failedOn = nullptr;
+        bool operator==(const task_group&) const = default;
+    };
+    class candidates;
+    task_group groupOf(const step_run&, const task_run&) const;
+    std::optional<double> rate(
+        const step_run&, const task_run&, const queue_policy&, const worker_state&, int members) const;
+    // `beside`: the members of its gang that have been planned before it.
+    worker_state* chooseWorker(step_run&, const task_run&, const std::string* rack, const gang_plan* beside);
+    std::optional<gang_plan> planGang(step_run&, const std::string* rack);
+    void commit(step_run&, int index, worker_state&, uint32_t run);
     bool usable(const worker_state&) const;
     bool usableFor(const worker_state&, const step_run&, const task_run&) const;
-    bool allowed(const step_run&, const queue_policy&, const worker_state&) const;
+    bool allowed(const step_run&, const queue_policy&, const worker_state&, int members) const;
     double scoreOf(const step_run&, const task_run&, const worker_state&) const;
     bool fillerFits(const worker_state&, const step_run&, ms waited) const;
     static bool hasLeftOver(const worker_state&, const step_spec&);
--- a/src/jobs/process/cell_placing.cpp
+++ b/src/jobs/process/cell_placing.cpp
@@ -50,16 +50,18 @@
     // A size for which no worker of a service had room. For a filler the strain that its image adds counts
     // too, and how long it has waited: after a while it takes what it refused before.
     struct full_shape {
-        const step_spec* spec = nullptr;
+        const step_run* step = nullptr;
         const queue_policy* policy = nullptr;
         int patience = 0;
 
-        bool covers(const step_spec& asked, const queue_policy& by, int patienceSpent) const
+        bool covers(const step_run& other, const queue_policy& by, int patienceSpent) const
         {
+            const step_spec* spec = step->spec;
+            const step_spec& asked = *other.spec;
             return policy->service == by.service && spec->filler == asked.filler
                 && spec->cpuMilli <= asked.cpuMilli && spec->memoryMb <= asked.memoryMb
                 && spec->accelerators <= asked.accelerators
-                && (!asked.filler || (spec->image == asked.image && patienceSpent <= patience));
+                && (!asked.filler || (step->image == other.image && patienceSpent <= patience));
         }
     };
 
@@ -85,7 +87,7 @@
     {
         int count = 0;
         for (const placement& each : worker.placed)
-            count += each.step->spec->lasting && each.step->spec->image != step.spec->image;
+            count += each.step->spec->lasting && each.step->image != step.image;
         return count;
     }
 
@@ -107,8 +109,9 @@
     return usable(worker) && (!shunned || (step.spec->lasting && now - task.waitingSince >= shunYieldsMs));
 }
 
-// Whether the step may run there at all, room left aside.
-bool cell_model::allowed(const step_run& step, const queue_policy& policy, const worker_state& worker) const
+// Whether the step may run there at all, room left aside, with so many members of its gang planned there.
+bool cell_model::allowed(
+    const step_run& step, const queue_policy& policy, const worker_state& worker, int members) const
 {
     const step_spec& spec = *step.spec;
     if (policy.service != worker.info.service)
@@ -117,7 +120,7 @@
     if (!spec.requiredLabel.empty()
         && std::find(labels.begin(), labels.end(), spec.requiredLabel) == labels.end())
         return false;
-    if (spec.maxPerWorker > 0 && copiesOn(step, worker) >= spec.maxPerWorker)
+    if (spec.maxPerWorker > 0 && copiesOn(step, worker) + members >= spec.maxPerWorker)
         return false;
     if (!policy.advised)
         return true;
@@ -174,124 +177,213 @@
     return score;
 }
 
-worker_state* cell_model::chooseWorker(step_run& step, const task_run& task, const std::string* rack)
+// The worker's score for the task; nothing if it cannot be started there now.
+std::optional<double> cell_model::rate(const step_run& step, const task_run& task, const queue_policy& policy,
+    const worker_state& worker, int members) const
 {
     const step_spec& spec = *step.spec;
+    if (!usableFor(worker, step, task) || !(bookingOf(spec) * (members + 1)).fits(worker.room()))
+        return std::nullopt;
+    if (spec.filler && !fillerFits(worker, step, now - task.waitingSince))
+        return std::nullopt;
+    if (!allowed(step, policy, worker, members))
+        return std::nullopt;
+    return scoreOf(step, task, worker);
+}
+
+worker_state* cell_model::chooseWorker(
+    step_run& step, const task_run& task, const std::string* rack, const gang_plan* beside)
+{
     const queue_policy* policy = policyOf(*step.job);
     if (!policy)
         return nullptr;
-    if (spec.filler)
-        kindOf(step);
-    resources need = bookingOf(spec);
-    ms waited = now - task.waitingSince;
     worker_state* best = nullptr;
     double bestScore = 0;
     for (auto& [id, held] : workers) {
         worker_state& worker = *held;
-        if (!usableFor(worker, step, task) || (rack && worker.info.rack != *rack)
-            || !need.fits(worker.room()))
-            continue;
-        if (spec.filler && !fillerFits(worker, step, waited))
+        if (rack && worker.info.rack != *rack)
             continue;
-        if (!allowed(step, *policy, worker))
-            continue;
-        double score = scoreOf(step, task, worker);
-        if (!best || score > bestScore) {
+        auto score = rate(step, task, *policy, worker, beside ? beside->on(worker) : 0);
+        if (score && (!best || *score > bestScore)) {
             best = &worker;
-            bestScore = score;
+            bestScore = *score;
         }
     }
     return best;
 }
 
-bool cell_model::placeGang(step_run& step)
+// Chooses workers for all members, in that rack only if one is given; nothing when one finds no room.
+std::optional<gang_plan> cell_model::planGang(step_run& step, const std::string* rack)
 {
-    std::set<std::string> racks;
-    if (step.spec->sameRack) {
-        for (const auto& [id, worker] : workers)
-            racks.insert(worker->info.rack);
+    gang_plan plan;
+    for (const task_run& task : step.tasks) {
+        worker_state* worker = chooseWorker(step, task, rack, &plan);
+        if (!worker)
+            return std::nullopt;
+        plan.workers.push_back(worker);
     }
-    std::vector<const std::string*> tries;
-    for (const auto& each : racks)
-        tries.push_back(&each);
-    tries.push_back(nullptr);
+    return plan;
+}
+
+bool cell_model::placeGang(step_run& step)
+{
     uint32_t run = 0;
     for (const auto& task : step.tasks) {
         if (!task.copies.empty() || task.notBefore > now)
             return false;
         run = std::max(run, task.lastRun + 1);
     }
-    for (const std::string* rack : tries) {
-        std::vector<worker_state*> chosen;
-        for (int i = 0; i < static_cast<int>(step.tasks.size()); i++) {
-            worker_state* worker = chooseWorker(step, step.tasks[static_cast<size_t>(i)], rack);
-            if (!worker)
-                break;
-            chosen.push_back(worker);
-            task_copy& copy = place(step, i, *worker, run);
-            if (auto found = step.tickets.find(worker->info.id); found != step.tickets.end())
-                copy.ticket = found->second.value;
+    std::set<std::string> racks;
+    if (step.spec->sameRack) {
+        for (const auto& [id, worker] : workers)
+            racks.insert(worker->info.rack);
+    }
+    std::optional<gang_plan> plan;
+    for (auto rack = racks.begin(); rack != racks.end() && !plan; ++rack)
+        plan = planGang(step, &*rack);
+    if (!plan)
+        plan = planGang(step, nullptr);
+    if (!plan)
+        return false;
+    step.gangRun = run;
+    for (size_t i = 0; i < step.tasks.size(); i++)
+        commit(step, static_cast<int>(i), *plan->workers[i], run);
+    step.waiting.clear();
+    return true;
+}
+
+// Books the worker, and has the start sent once its record is durable.
+void cell_model::commit(step_run& step, int index, worker_state& worker, uint32_t run)
+{
+    task_run& task = step.tasks[static_cast<size_t>(index)];
+    auto pace = static_cast<int64_t>(step.spec->filler ? 100 * expectedPace(worker, step) : 100);
+    task.waiting = false;
+    task_copy& copy = place(step, index, worker, run);
+    if (auto found = step.tickets.find(worker.info.id); found != step.tickets.end())
+        copy.ticket = found->second.value;
+    planned.push_back({ &step, index, run });
+    touch(*step.job);
+    log(log_line("task_placed")
+            .add("task", step.ref(index).str())
+            .add("run", run)
+            .add("worker", worker.info.id)
+            .add("room_left", worker.room().cpuMilli)
+            .add("look_age_ms", now - worker.answeredAt)
+            .add("waited_ms", now - task.waitingSince)
+            .add("image", step.spec->image)
+            .add("pace_percent", pace));
+}
+
+// All that lets the tasks of a step differ in the workers that they may have.
+cell_model::task_group cell_model::groupOf(const step_run& step, const task_run& task) const
+{
+    ms waited = now - task.waitingSince;
+    if (step.spec->filler)
+        return { (waited >= patienceMs) + (waited >= lastPatienceMs), task.failedOn };
+    return { step.spec->lasting && waited >= shunYieldsMs, task.failedOn };
+}
+
+// The workers that can start a task of the step, the best first. A placement changes the score of its worker
+// alone, so the rest of the step needs no further scan.
+class cell_model::candidates {
+public:
+    candidates(cell_model& model, step_run& step, const queue_policy& policy)
+        : m_model(model)
+        , m_step(step)
+        , m_policy(policy)
+    {
+    }
+
+    worker_state* best(const task_run& task)
+    {
+        task_group group = m_model.groupOf(m_step, task);
+        if (m_group != group)
+            collect(group, task);
+        while (!m_heap.empty()) {
+            std::pop_heap(m_heap.begin(), m_heap.end(), worse);
+            candidate top = m_heap.back();
+            m_heap.pop_back();
+            auto score = m_model.rate(m_step, task, m_policy, *top.worker, 0);
+            if (score && *score == top.score)
+                return top.worker;
+            if (score)
+                push({ *score, top.place, top.worker });
         }
-        if (chosen.size() == step.tasks.size()) {
-            step.gangRun = run;
-            for (int i = 0; i < static_cast<int>(step.tasks.size()); i++) {
-                step.tasks[static_cast<size_t>(i)].waiting = false;
-                planned.push_back({ &step, i, run });
-            }
-            step.waiting.clear();
-            touch(*step.job);
-            return true;
+        return nullptr;
+    }
+
+    // After a placement there.
+    void again(worker_state& worker, const task_run& like)
+    {
+        if (auto score = m_model.rate(m_step, like, m_policy, worker, 0))
+            push({ *score, worker.place, &worker });
+    }
+
+private:
+    struct candidate {
+        double score = 0;
+        size_t place = 0; // Decides between equal scores.
+        worker_state* worker = nullptr;
+    };
+    static bool worse(const candidate& a, const candidate& b)
+    {
+        return a.score != b.score ? a.score < b.score : a.place > b.place;
+    }
+    void push(const candidate& each)
+    {
+        m_heap.push_back(each);
+        std::push_heap(m_heap.begin(), m_heap.end(), worse);
+    }
+    void collect(const task_group& group, const task_run& task)
+    {
+        m_group = group;
+        m_heap.clear();
+        size_t place = 0;
+        for (auto& [id, worker] : m_model.workers) {
+            worker->place = place++;
+            if (auto score = m_model.rate(m_step, task, m_policy, *worker, 0))
+                m_heap.push_back({ *score, worker->place, worker.get() });
         }
-        for (int i = 0; i < static_cast<int>(chosen.size()); i++)
-            removeCopy(step, i, *chosen[static_cast<size_t>(i)], run);
+        std::make_heap(m_heap.begin(), m_heap.end(), worse);
     }
-    return false;
-}
+
+    cell_model& m_model;
+    step_run& m_step;
+    const queue_policy& m_policy;
+    std::optional<task_group> m_group;
+    std::vector<candidate> m_heap;
+};
 
 bool cell_model::placeStep(step_run& step)
 {
     const queue_policy* policy = policyOf(*step.job);
-    if (policy && policy->advised)
+    if (!policy)
+        return true;
+    if (policy->advised)
         askAdvice(step);
-    bool placedAll = true;
-    if (step.spec->gang) {
-        placedAll = placeGang(step);
-    } else {
-        std::vector<int> left;
-        bool full = false;
-        for (int index : step.waiting) {
-            task_run& task = step.tasks[static_cast<size_t>(index)];
-            worker_state* worker = nullptr;
-            if (task.notBefore <= now && !full) {
-                worker = chooseWorker(step, task, nullptr);
-                full = !worker;
-            }
-            if (!worker) {
-                left.push_back(index);
-                continue;
-            }
-            task.waiting = false;
-            uint32_t run = task.lastRun + 1;
-            auto pace = static_cast<int64_t>(step.spec->filler ? 100 * expectedPace(*worker, step) : 100);
-            task_copy& copy = place(step, index, *worker, run);
-            if (auto found = step.tickets.find(worker->info.id); found != step.tickets.end())
-                copy.ticket = found->second.value;
-            planned.push_back({ &step, index, run });
-            touch(*step.job);
-            log(log_line("task_placed")
-                    .add("task", step.ref(index).str())
-                    .add("run", run)
-                    .add("worker", worker->info.id)
-                    .add("room_left", worker->room().cpuMilli)
-                    .add("look_age_ms", now - worker->answeredAt)
-                    .add("waited_ms", now - task.waitingSince)
-                    .add("image", step.spec->image)
-                    .add("pace_percent", pace));
+    if (step.spec->filler)
+        kindOf(step);
+    if (step.spec->gang)
+        return placeGang(step);
+    std::vector<int> left;
+    candidates workersFor(*this, step, *policy);
+    bool full = false;
+    for (int index : step.waiting) {
+        task_run& task = step.tasks[static_cast<size_t>(index)];
+        worker_state* worker = nullptr;
+        if (task.notBefore <= now && !full) {
+            worker = workersFor.best(task);
+            full = !worker;
+        }
+        if (!worker) {
+            left.push_back(index);
+            continue;
         }
-        placedAll = !full;
-        step.waiting.swap(left);
+        commit(step, index, *worker, task.lastRun + 1);
+        workersFor.again(*worker, task);
     }
-    return placedAll;
+    step.waiting.swap(left);
+    return !full;
 }
 
 void cell_model::placeWaiting()
@@ -319,13 +411,13 @@
         const queue_policy* policy = policyOf(*step->job);
         int spent = step->spec->filler ? patienceSpent(*step, now) : 0;
         if (!policy || std::any_of(full.begin(), full.end(), [&](const full_shape& each) {
-                return each.covers(*step->spec, *policy, spent);
+                return each.covers(*step, *policy, spent);
             }))
             continue;
         bool constrained = !step->spec->requiredLabel.empty() || step->spec->maxPerWorker > 0
             || step->spec->gang || policy->advised;
         if (!placeStep(*step) && !constrained)
-            full.push_back({ step->spec, policy, spent });
+            full.push_back({ step, policy, spent });
         if (step->waiting.empty())
             unqueue(*step);
     }
--- a/src/jobs/process/cell_progress.cpp
+++ b/src/jobs/process/cell_progress.cpp
@@ -39,7 +39,8 @@
 
 } // namespace
 
-// [format, state, next occurrence, [[occurrence, [[step, [[task, last run, failures, done, copies, ...]]]]]]]
+// [format, state, next occurrence, [[occurrence, [[step, [[task, last run, failures, done, copies, ...]]]]]],
+// started]
 std::string cell_model::encodeProgress(const job_run& job) const
 {
     json row = json::array({ progressFormat, static_cast<int>(job.state) });
@@ -57,6 +58,7 @@
         }
         row.push_back(job.nextOccurrence);
         row.push_back(std::move(occurrences));
+        row.push_back(job.started);
     }
     std::string out;
     json::to_cbor(row, out);
@@ -109,13 +111,15 @@
                         if (step.spec->gang)
                             step.gangRun = restored.run;
                     }
-                    job.started = true;
+                    job.started |= task.done;
                 }
             }
             live.stepsLeft = static_cast<int>(std::count_if(
                 live.steps.begin(), live.steps.end(), [](const auto& each) { return each.undone > 0; }));
         }
         job.nextOccurrence = row.at(2);
+        // Records of an earlier version do not tell: what was recorded was started there, but for moments.
+        job.started |= row.size() > 4 ? row[4].get<bool>() : !row.at(3).empty();
     } catch (const std::exception& error) {
         // Written by this library under a fence, so this is a defect or a newer format: leave the job alone
         // rather than run a task twice.
@@ -209,6 +213,23 @@
     writingJobs.clear();
 }
 
+// Whether what was planned can still be started there. The members of a gang start together or not at all.
+bool cell_model::startable(const placement& at) const
+{
+    auto ready = [&](const task_run& task) {
+        return std::all_of(task.copies.begin(), task.copies.end(), [&](const task_copy& each) {
+            return each.phase != copy_phase::doomed && usableFor(*each.on, *at.step, task);
+        });
+    };
+    const auto& tasks = at.step->tasks;
+    if (!mayGrant)
+        return false;
+    if (!at.step->spec->gang)
+        return ready(tasks[static_cast<size_t>(at.index)]);
+    return std::all_of(tasks.begin(), tasks.end(),
+        [&](const task_run& task) { return !task.copies.empty() && ready(task); });
+}
+
 // Orders the starts whose records are durable.
 void cell_model::startWritten()
 {
@@ -220,8 +241,7 @@
             continue;
         worker_state& worker = *copy->on;
         ms lease = worker.workerNow(now) + settings.leaseMs;
-        const task_run& task = each.step->tasks[static_cast<size_t>(each.index)];
-        if (copy->phase != copy_phase::planned || !usableFor(worker, *each.step, task) || !mayGrant) {
+        if (copy->phase != copy_phase::planned || !startable(each)) {
             removeCopy(*each.step, each.index, worker, each.run);
             touch(*each.step->job);
             requeue(*each.step, each.index);
--- a/src/jobs/process/cell_sharing.cpp
+++ b/src/jobs/process/cell_sharing.cpp
@@ -100,7 +100,7 @@
     if (filler.fillerKind < 0) {
         int64_t steps = (filler.spec->cpuMilli + sizeStep - 1) / sizeStep;
         auto next = static_cast<int>(fillerKinds.size());
-        filler.fillerKind = fillerKinds.try_emplace({ filler.spec->image, steps }, next).first->second;
+        filler.fillerKind = fillerKinds.try_emplace({ filler.image, steps }, next).first->second;
     }
     return filler.fillerKind;
 }
@@ -123,7 +123,7 @@
     std::array<double, paceSteps> paces;
     paces.fill(1);
     for (size_t i = 0; i < worker.serving.size(); i++) {
-        double pressing = pressure.pressure(filler.spec->image, worker.serving[i].image);
+        double pressing = pressure.pressure(filler.image, worker.serving[i].image);
         if (pressing <= harmless)
             continue;
         double wanted = worker.borne[i].wanted + pressing * share;
@@ -155,7 +155,7 @@
         double ratio = static_cast<double>(copy->load) / static_cast<double>(spec.tailTargetMs);
         over |= ratio > 1;
         noteTail(*each.step, *copy, ratio, figures);
-        serving_figure figure { spec.image, each.step->wave, copy->bias, {} };
+        serving_figure figure { each.step->image, each.step->wave, copy->bias, {} };
         for (int i = 0; i < paceSteps; i++)
             figure.ownLoads[static_cast<size_t>(i)]
                 = ownLoad(figure, i * sampleMs + sampleMs / 2, biasKeptLater);
@@ -175,7 +175,7 @@
 // Learns from the tail of one serving task what the fillers beside it do, and what its users do.
 void cell_model::noteTail(step_run& step, task_copy& copy, double ratio, const sharing_figures& figures)
 {
-    const std::string& image = step.spec->image;
+    image_id image = step.image;
     if (!step.ownLoads)
         step.ownLoads = std::make_unique<load_history>();
     int64_t at = figures.at + unixOffset - sampleMs / 2;
@@ -221,7 +221,7 @@
                     continue;
                 serving.push_back(&step);
                 histories.push_back(step.ownLoads.get());
-                typical += pressure.ownLoad(step.spec->image);
+                typical += pressure.ownLoad(step.image);
             }
         }
     }
@@ -235,7 +235,7 @@
     swingPeriod = *found;
     // A wave tells nothing under another period.
     for (step_run* step : serving)
-        step->wave = step->ownLoads->fit(swingPeriod, pressure.ownLoad(step->spec->image));
+        step->wave = step->ownLoads->fit(swingPeriod, pressure.ownLoad(step->image));
     log(log_line("swing_period")
             .add("period_ms", static_cast<int64_t>(swingPeriod))
             .add("histories", static_cast<int64_t>(histories.size())));
@@ -248,21 +248,22 @@
     if (now - weighedAt < weighEveryMs)
         return;
     weighedAt = now;
-    std::map<std::string, double> demand;
+    std::map<image_id, double> demand;
     double wanted = 0;
     int64_t total = 0;
     int64_t spokenFor = 0;
-    auto add = [&](const step_spec& spec, double tasks) {
-        if (!spec.filler)
+    auto add = [&](const step_run& step, double tasks) {
+        if (!step.spec->filler)
             return;
-        demand[spec.image] += coresOf(spec) * tasks;
-        wanted += coresOf(spec) * tasks;
+        double cores = coresOf(*step.spec) * tasks;
+        demand[step.image] += cores;
+        wanted += cores;
     };
     for (const auto& [order, step] : ready)
-        add(*step->spec, static_cast<double>(step->waiting.size()));
+        add(*step, static_cast<double>(step->waiting.size()));
     for (const auto& [id, worker] : workers) {
         for (const placement& each : worker->placed)
-            add(*each.step->spec, 1);
+            add(*each.step, 1);
         total += worker->info.capacity.cpuMilli;
         spokenFor += worker->booked.cpuMilli + worker->fillerCpu;
     }
@@ -320,7 +321,7 @@
             continue;
         running_filler filler { each, copy, {}, false };
         for (const auto& serving : worker.serving) {
-            double pressing = pressure.pressure(spec.image, serving.image);
+            double pressing = pressure.pressure(each.step->image, serving.image);
             filler.strains.push_back(pressing * worker.shareOf(spec));
             filler.disturbs |= pressing > harmless;
         }
--- a/src/jobs/process/cell_workers.cpp
+++ b/src/jobs/process/cell_workers.cpp
@@ -203,6 +203,7 @@
     for (const placement& each : lost) {
         removeCopy(*each.step, each.index, worker, each.run);
         touch(*each.step->job);
+        breakGang(*each.step, "gang_member_lost");
         requeue(*each.step, each.index);
     }
 }
@@ -295,6 +296,7 @@
         return;
     }
     copy->listedIn = worker.reports;
+    noteStarted(*step->job);
     bool restored = copy->phase == copy_phase::restored;
     if (copy->phase == copy_phase::ordered || restored) {
         copy->phase = copy_phase::running;
@@ -337,6 +339,7 @@
                 .add("worker", worker.info.id));
         removeCopy(*each.step, each.index, worker, each.run);
         touch(*each.step->job);
+        breakGang(*each.step, "gang_member_absent");
         requeue(*each.step, each.index);
     }
 }
@@ -357,6 +360,7 @@
             .add("known", known ? 1 : 0));
     job_run& job = *step->job;
     if (known) {
+        noteStarted(job);
         removeCopy(*step, end.task.index, worker, end.run);
         touch(job);
     }
@@ -400,12 +404,7 @@
             return;
         }
     }
-    if (step->spec->gang) {
-        for (int i = 0; i < static_cast<int>(step->tasks.size()); i++) {
-            for (task_copy& each : step->tasks[static_cast<size_t>(i)].copies)
-                doom(*step, i, each, "gang_broken");
-        }
-    }
+    breakGang(*step, "gang_broken");
     requeue(*step, end.task.index);
 }
 
@@ -427,9 +426,8 @@
     worker.servingCpu += spec.lasting ? spec.cpuMilli : 0;
     worker.placed.push_back({ &step, index, run });
     task.lastRun = std::max(task.lastRun, run);
-    step.job->started = true;
     if (spec.filler)
-        worker.fillers.start({ &step, index, run }, spec.image, worker.shareOf(spec), now);
+        worker.fillers.start({ &step, index, run }, step.image, worker.shareOf(spec), now);
     task_copy copy;
     copy.run = run;
     copy.on = &worker;
@@ -456,6 +454,24 @@
     placeNeeded = true;
 }
 
+void cell_model::breakGang(step_run& step, std::string_view why)
+{
+    if (!step.spec->gang)
+        return;
+    for (int i = 0; i < static_cast<int>(step.tasks.size()); i++) {
+        for (task_copy& each : step.tasks[static_cast<size_t>(i)].copies)
+            doom(step, i, each, why);
+    }
+}
+
+void cell_model::noteStarted(job_run& job)
+{
+    if (job.started)
+        return;
+    job.started = true;
+    touch(job);
+}
+
 void cell_model::sendStop(step_run& step, int index, task_copy& copy)
 {
     copy.stopSentAt = now;
@@ -503,6 +519,7 @@
     worker_state& worker = *copy->on;
     if (outcome == order_outcome::done) {
         copy->answeredAt = now;
+        m.noteStarted(*step->job);
         if (copy->phase == copy_phase::ordered) {
             copy->phase = copy_phase::running;
             copy->percentAt = now;
@@ -539,12 +556,7 @@
     step->tasks[static_cast<size_t>(start.task.index)].notBefore = now + retryPauseMs;
     m.removeCopy(*step, start.task.index, worker, start.run);
     m.touch(*step->job);
-    if (step->spec->gang) {
-        for (int i = 0; i < static_cast<int>(step->tasks.size()); i++) {
-            for (task_copy& each : step->tasks[static_cast<size_t>(i)].copies)
-                m.doom(*step, i, each, "gang_incomplete");
-        }
-    }
+    m.breakGang(*step, "gang_incomplete");
     m.requeue(*step, start.task.index);
 }
 
--- a/src/jobs/process/filler_history.h
+++ b/src/jobs/process/filler_history.h
@@ -16,7 +16,7 @@
         uint32_t run = 0;
         bool operator==(const key&) const = default;
     };
-    void start(const key&, const std::string& image, double share, int64_t now);
+    void start(const key&, image_id image, double share, int64_t now);
     void pace(const key&, int percent, int64_t at);
     void end(const key&, int64_t now);
     void clear();
@@ -24,7 +24,7 @@
     // Mean share of the processors in use from `from` to `to`, by image.
     std::vector<interference::neighbour> between(int64_t from, int64_t to) const;
     // Shares that would be in use were every pace 100, by image.
-    const std::map<std::string, double>& unpaced() const { return m_unpaced; }
+    const std::vector<interference::neighbour>& unpaced() const { return m_unpaced; }
     // Share of all fillers together when all paces are in effect.
     double inUse() const { return m_inUse; }
     // Forgets what ended before `then`.
@@ -37,14 +37,15 @@
     };
     struct entry {
         key which;
-        std::string image;
+        image_id image = 0;
         double share = 0;
         std::vector<change> paces;
         int64_t endedAt = 0; // 0: runs.
     };
     entry* find(const key&);
+    static void add(std::vector<interference::neighbour>&, image_id, double share);
     std::vector<entry> m_entries;
-    std::map<std::string, double> m_unpaced;
+    std::vector<interference::neighbour> m_unpaced;
     double m_inUse = 0;
 };
 
--- a/tests/jobs/jobs_test.cpp
+++ b/tests/jobs/jobs_test.cpp
@@ -622,7 +622,10 @@
     std::mt19937 random(3);
     std::uniform_real_distribution<> uniform(0, 1);
     interference learnt;
-    const std::vector<std::string> fillers { "f0", "f1", "f2", "f3", "f4", "f5" };
+    const image_id serving = learnt.idOf("s");
+    std::vector<image_id> fillers;
+    for (const char* name : { "f0", "f1", "f2", "f3", "f4", "f5" })
+        fillers.push_back(learnt.idOf(name));
     std::vector<interference::neighbour> before;
     double strainBefore = 0;
     for (int i = 0; i < 1500; i++) {
@@ -635,21 +638,21 @@
             beside.push_back({ fillers[f], share });
             strain += f == 2 ? 0.06 * 32 * share : 0;
         }
-        learnt.noteTail("s", 0.22 / (1 - std::min(strain, 0.99)));
-        double seen = learnt.strain("s", 0.22 / (1 - std::min(strain, 0.99)));
+        learnt.noteTail(serving, 0.22 / (1 - std::min(strain, 0.99)));
+        double seen = learnt.strain(serving, 0.22 / (1 - std::min(strain, 0.99)));
         auto rises = beside;
         for (const auto& each : before)
             rises.push_back({ each.image, -each.share });
         if (i > 0)
-            learnt.learn("s", seen - strainBefore, rises, 0.12);
+            learnt.learn(serving, seen - strainBefore, rises, 0.12);
         strainBefore = seen;
         before = std::move(beside);
     }
     for (const auto& each : fillers) {
-        if (each == "f2")
-            BOOST_TEST(learnt.pressure(each, "s") > 0.035 * 32);
+        if (each == fillers[2])
+            BOOST_TEST(learnt.pressure(each, serving) > 0.035 * 32);
         else
-            BOOST_TEST(learnt.pressure(each, "s") < 0.02 * 32);
+            BOOST_TEST(learnt.pressure(each, serving) < 0.02 * 32);
     }
 }
 
