--- a/src/jobs/jobs.h
+++ b/src/jobs/jobs.h
@@ -22,6 +22,8 @@
 
 #include "base/base.h"
 
+#include <concepts>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -216,8 +218,32 @@
 // to an earlier life that is carried out late is refused by a later one that has been looked at.
 uint64_t orderToken(uint64_t ownerToken, uint32_t life);
 
-// Something the scheduler decided or learnt, for the log.
-using decision_log = std::function<void(const log_line&)>;
+// What the scheduler decided or learnt, for the log.
+class decision_log {
+public:
+    using sink = std::function<void(const log_line&)>;
+    // Whether the next line would be written; counts it as dropped where not.
+    using gate = std::function<bool()>;
+
+    template <typename writer>
+        requires(std::invocable<writer, const log_line&> && !std::same_as<std::decay_t<writer>, decision_log>)
+    decision_log(writer write, gate open = {})
+        : m_write(std::move(write))
+        , m_open(std::move(open))
+    {
+    }
+    void operator()(const log_line& line) const { m_write(line); }
+    // For lines of which there are thousands a second: those beyond the log's rate are not even built.
+    template <typename builder> void often(builder&& build) const
+    {
+        if (!m_open || m_open())
+            m_write(build());
+    }
+
+private:
+    sink m_write;
+    gate m_open;
+};
 
 } // namespace camphorwell
 
--- a/src/jobs/process/cell_placing.cpp
+++ b/src/jobs/process/cell_placing.cpp
@@ -263,7 +263,8 @@
         copy.ticket = found->second.value;
     planned.push_back({ &step, index, run });
     touch(*step.job);
-    log(log_line("task_placed")
+    log.often([&] {
+        return log_line("task_placed")
             .add("task", step.ref(index).str())
             .add("run", run)
             .add("worker", worker.info.id)
@@ -271,7 +272,8 @@
             .add("look_age_ms", now - worker.answeredAt)
             .add("waited_ms", now - task.waitingSince)
             .add("image", step.spec->image)
-            .add("pace_percent", pace));
+            .add("pace_percent", pace);
+    });
 }
 
 // All that lets the tasks of a step differ in the workers that they may have.
--- a/src/jobs/process/cell_sharing.cpp
+++ b/src/jobs/process/cell_sharing.cpp
@@ -291,12 +291,14 @@
     else if (copy.slowSince == 0)
         copy.slowSince = now;
     actions.push_back(pace_action { worker.info.id, at.step->ref(at.index), at.run, percent, worker.life });
-    log(log_line("filler_paced")
+    log.often([&] {
+        return log_line("filler_paced")
             .add("task", at.step->ref(at.index).str())
             .add("worker", worker.info.id)
             .add("percent", percent)
             .add("free_percent", static_cast<int64_t>(100 * free))
-            .add("figures_age_ms", now - worker.sampledAt));
+            .add("figures_age_ms", now - worker.sampledAt);
+    });
 }
 
 // The last resort, before a serving task has been over its target for long: whatever fills beside it stands
--- a/src/jobs/process/cell_workers.cpp
+++ b/src/jobs/process/cell_workers.cpp
@@ -352,12 +352,14 @@
     task_run& task = step->tasks[static_cast<size_t>(end.task.index)];
     task_copy* copy = findCopy({ step, end.task.index, end.run });
     bool known = copy && copy->on == &worker;
-    log(log_line("task_end")
+    log.often([&] {
+        return log_line("task_end")
             .add("task", end.task.str())
             .add("run", end.run)
             .add("worker", worker.info.id)
             .add("how", toString(end.how))
-            .add("known", known ? 1 : 0));
+            .add("known", known ? 1 : 0);
+    });
     job_run& job = *step->job;
     if (known) {
         noteStarted(job);
--- a/src/net/net.h
+++ b/src/net/net.h
@@ -98,7 +98,6 @@
 struct http_response {
     int status = 0; // 0 when the call failed without an answer.
     std::string body;
-    std::map<std::string, std::string> headers; // Names in lower case.
 };
 
 // Calls one server over a pool of kept connections.
--- a/src/net/process/event_loop.cpp
+++ b/src/net/process/event_loop.cpp
@@ -33,6 +33,8 @@
 {
     event_config* config = event_config_new();
     event_config_set_flag(config, EVENT_BASE_FLAG_PRECISE_TIMER);
+    // Changes of what is waited for go to the kernel once a turn, less those that undo each other.
+    event_config_set_flag(config, EVENT_BASE_FLAG_EPOLL_USE_CHANGELIST);
     m_base = event_base_new_with_config(config);
     event_config_free(config);
     CAMPHORWELL_INVARIANT(m_base, "libevent has no usable event mechanism");
--- a/src/scheduler/process/cell_host_recovery.cpp
+++ b/src/scheduler/process/cell_host_recovery.cpp
@@ -18,8 +18,9 @@
     token = ownership.token();
     takenAt = bootNow();
     begun = false;
-    owned = std::make_unique<cell>(
-        context.settings.cell, queues, [this](const log_line& line) { context.log.write(line); });
+    owned = std::make_unique<cell>(context.settings.cell, queues,
+        decision_log([this](const log_line& line) { context.log.write(line); },
+            [this] { return context.log.open(); }));
     owned->setClock(takenAt, unixNow());
     tails.clear();
     for (int i = 0; i < context.settings.store.partitions; i++)
--- a/src/scheduler/process/event_log.cpp
+++ b/src/scheduler/process/event_log.cpp
@@ -30,16 +30,22 @@
         fcntl(STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK);
 }
 
-void event_log::write(const log_line& line)
+bool event_log::open()
 {
     ms now = bootNow();
     m_allowance
         = std::min<double>(m_rate * 2.0, m_allowance + static_cast<double>(now - m_filledAt) * m_rate / 1000);
     m_filledAt = now;
-    if (m_allowance < 1) {
-        m_dropped++;
+    if (m_allowance >= 1)
+        return true;
+    m_dropped++;
+    return false;
+}
+
+void event_log::write(const log_line& line)
+{
+    if (!open())
         return;
-    }
     m_allowance -= 1;
     writeAlways(line);
 }
--- a/src/scheduler/scheduler.h
+++ b/src/scheduler/scheduler.h
@@ -60,6 +60,8 @@
 public:
     explicit event_log(int linesPerSecond);
     void write(const log_line&);
+    // Whether `write` would take a line now; counts one as dropped where not.
+    bool open();
     // Lines that matter to every incident pass the rate.
     void writeAlways(const log_line&);
 
