Records of progress are written straight; workers stand in one table

Cause: a JSON document for each record (a fifth of the owner's samples), the workers in a map by name that every tick walked several times, searches for stops and absent runs at each report.

--- a/src/jobs/process/cell.cpp
+++ b/src/jobs/process/cell.cpp
@@ -127,7 +127,7 @@
     figures out;
     out.jobs = static_cast<int64_t>(m_model->jobs.size());
     out.pairSearches = m_model->pressure.searches();
-    for (const auto& [id, worker] : m_model->workers) {
+    for (const worker_state* worker : m_model->workers.all()) {
         out.workers++;
         out.reachable += worker->adopted;
         out.cpuBooked += worker->booked.cpuMilli;
--- a/src/jobs/process/cell_model.h
+++ b/src/jobs/process/cell_model.h
@@ -4,6 +4,7 @@
 #include "jobs/jobs.h"
 #include "jobs/process/filler_history.h"
 #include "jobs/process/load_forecast.h"
+#include "jobs/process/worker_table.h"
 
 #include <algorithm>
 #include <array>
@@ -166,6 +167,7 @@
     bool adopted = false; // It has reported to this owner in its present life.
     size_t place = 0; // Among all, by id.
     std::vector<placement> placed;
+    int doomed = 0; // Of those.
     resources booked; // Fillers book memory and accelerators only.
     int64_t fillerCpu = 0;
     int64_t servingCpu = 0; // Booked by lasting tasks, which use a part of it.
@@ -195,6 +197,7 @@
     ms answeredAt = 0;
     int failedLooks = 0;
     uint64_t reports = 0;
+    size_t listedRuns = 0; // Of `placed`, in the last report.
     int unknownRuns = 0; // In the last report. What they take is not known, so nothing is placed beside them.
     uint64_t processed = 0; // Ends taken up, by number.
     uint64_t acknowledged = 0; // Ends whose records are durable.
@@ -256,7 +259,7 @@
     std::map<std::tuple<job_id, int64_t, int>, load_wave> earlierWaves; // Learnt by an earlier owner.
 
     std::unordered_map<job_id, std::unique_ptr<job_run>> jobs;
-    std::map<worker_id, std::unique_ptr<worker_state>> workers;
+    worker_table<worker_state> workers;
     std::set<std::pair<work_order, step_run*>> ready;
     std::vector<job_run*> dirty;
     std::set<job_run*> timed; // Jobs with occurrences to come.
@@ -322,6 +325,7 @@
     void noteAbsent(worker_state&, ms sentAt);
     void lookAtWorkers();
     void lookAt(worker_state&);
+    void stopAgain(worker_state&);
     void meetNewLife(worker_state&);
     void loseAll(worker_state&, std::string_view why);
     bool leaseSurelyOver(const worker_state&) const;
--- a/src/jobs/process/cell_placing.cpp
+++ b/src/jobs/process/cell_placing.cpp
@@ -199,8 +199,8 @@
         return nullptr;
     worker_state* best = nullptr;
     double bestScore = 0;
-    for (auto& [id, held] : workers) {
-        worker_state& worker = *held;
+    for (worker_state* each : workers.all()) {
+        worker_state& worker = *each;
         if (rack && worker.info.rack != *rack)
             continue;
         auto score = rate(step, task, *policy, worker, beside ? beside->on(worker) : 0);
@@ -235,7 +235,7 @@
     }
     std::set<std::string> racks;
     if (step.spec->sameRack) {
-        for (const auto& [id, worker] : workers)
+        for (const worker_state* worker : workers.all())
             racks.insert(worker->info.rack);
     }
     std::optional<gang_plan> plan;
@@ -340,11 +340,9 @@
     {
         m_group = group;
         m_heap.clear();
-        size_t place = 0;
-        for (auto& [id, worker] : m_model.workers) {
-            worker->place = place++;
+        for (worker_state* worker : m_model.workers.all()) {
             if (auto score = m_model.rate(m_step, task, m_policy, *worker, 0))
-                m_heap.push_back({ *score, worker->place, worker.get() });
+                m_heap.push_back({ *score, worker->place, worker });
         }
         std::make_heap(m_heap.begin(), m_heap.end(), worse);
     }
@@ -436,8 +434,9 @@
     if (valid >= static_cast<int>(std::min<size_t>(step.waiting.size(), 3)))
         return;
     std::vector<std::pair<int64_t, worker_id>> candidates;
-    for (const auto& [id, worker] : workers) {
-        resources need = bookingOf(*step.spec);
+    resources need = bookingOf(*step.spec);
+    for (const worker_state* worker : workers.all()) {
+        const worker_id& id = worker->info.id;
         if (usable(*worker) && worker->shunnedUntil <= now && need.fits(worker->room())
             && !step.adviceRefused.contains(id))
             candidates.emplace_back(-worker->room().cpuMilli, id);
--- a/src/jobs/process/cell_progress.cpp
+++ b/src/jobs/process/cell_progress.cpp
@@ -2,6 +2,7 @@
 // append is under way at a time, and what depends on it (starts, acknowledged ends, answers to callers)
 // waits.
 #include "jobs/process/cell_model.h"
+#include "jobs/request/record_writer.h"
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
@@ -13,28 +14,38 @@
     using nlohmann::json;
     constexpr int progressFormat = 1;
 
-    json taskRow(int index, const task_run& task)
+    void writeTask(record_writer& out, int index, const task_run& task)
     {
-        json copies = json::array();
-        for (const auto& each : task.copies) {
-            copies.push_back(each.run);
-            copies.push_back(each.on->info.id);
-        }
-        json row = json::array({ index, task.lastRun, task.failures, task.done ? 1 : 0, std::move(copies) });
+        out.array(task.checkpoint.empty() ? 5 : 6);
+        out.number(index).number(task.lastRun).number(task.failures).number(task.done ? 1 : 0);
+        out.array(2 * task.copies.size());
+        for (const auto& each : task.copies)
+            out.number(each.run).text(each.on->info.id);
         if (!task.checkpoint.empty())
-            row.push_back(task.checkpoint);
-        return row;
+            out.text(task.checkpoint);
     }
 
-    json stepRow(const step_run& step)
+    void writeStep(record_writer& out, const step_run& step)
     {
-        json tasks = json::array();
+        auto begun = std::count_if(
+            step.tasks.begin(), step.tasks.end(), [](const task_run& each) { return each.lastRun > 0; });
+        out.array(2).number(step.number).array(static_cast<size_t>(begun));
         for (int i = 0; i < static_cast<int>(step.tasks.size()); i++) {
             const task_run& task = step.tasks[static_cast<size_t>(i)];
             if (task.lastRun > 0)
-                tasks.push_back(taskRow(i, task));
+                writeTask(out, i, task);
+        }
+    }
+
+    void writeOccurrence(record_writer& out, const occurrence_run& live)
+    {
+        auto open = std::count_if(
+            live.steps.begin(), live.steps.end(), [](const step_run& each) { return each.open; });
+        out.array(2).number(live.number).array(static_cast<size_t>(open));
+        for (const auto& step : live.steps) {
+            if (step.open)
+                writeStep(out, step);
         }
-        return json::array({ step.number, std::move(tasks) });
     }
 
 } // namespace
@@ -43,26 +54,18 @@
 // started]
 std::string cell_model::encodeProgress(const job_run& job) const
 {
-    json row = json::array({ progressFormat, static_cast<int>(job.state) });
-    if (!job.over()) {
-        json occurrences = json::array();
-        for (const auto& [number, live] : job.live) {
-            if (live->stepsLeft == 0)
-                continue;
-            json steps = json::array();
-            for (const auto& step : live->steps) {
-                if (step.open)
-                    steps.push_back(stepRow(step));
-            }
-            occurrences.push_back(json::array({ number, std::move(steps) }));
-        }
-        row.push_back(job.nextOccurrence);
-        row.push_back(std::move(occurrences));
-        row.push_back(job.started);
+    record_writer out;
+    out.array(job.over() ? 2 : 5).number(progressFormat).number(static_cast<int>(job.state));
+    if (job.over())
+        return out.take();
+    auto left = std::count_if(
+        job.live.begin(), job.live.end(), [](const auto& each) { return each.second->stepsLeft > 0; });
+    out.number(job.nextOccurrence).array(static_cast<size_t>(left));
+    for (const auto& [number, live] : job.live) {
+        if (live->stepsLeft > 0)
+            writeOccurrence(out, *live);
     }
-    std::string out;
-    json::to_cbor(row, out);
-    return out;
+    return out.flag(job.started).take();
 }
 
 void cell::restoreProgress(const job_id& id, std::string_view bytes)
@@ -143,7 +146,7 @@
         return std::nullopt;
     retire();
     if (dirty.empty() && toDrop.empty()) {
-        for (auto& [id, worker] : workers)
+        for (worker_state* worker : workers.all())
             worker->acknowledged = worker->processed;
         return std::nullopt;
     }
@@ -175,9 +178,9 @@
     if (has(cell_fault::start_unrecorded))
         startWritten();
     writingEnds.clear();
-    for (auto& [id, worker] : workers) {
+    for (worker_state* worker : workers.all()) {
         if (worker->processed != worker->acknowledged)
-            writingEnds.emplace_back(worker.get(), worker->processed);
+            writingEnds.emplace_back(worker, worker->processed);
     }
     writeUnderWay = true;
     return batch;
--- a/src/jobs/process/cell_sharing.cpp
+++ b/src/jobs/process/cell_sharing.cpp
@@ -261,14 +261,14 @@
     };
     for (const auto& [order, step] : ready)
         add(*step, static_cast<double>(step->waiting.size()));
-    for (const auto& [id, worker] : workers) {
+    for (const worker_state* worker : workers.all()) {
         for (const placement& each : worker->placed)
             add(*each.step, 1);
         total += worker->info.capacity.cpuMilli;
         spokenFor += worker->booked.cpuMilli + worker->fillerCpu;
     }
     roomy = static_cast<double>(spokenFor) < roomyShare * static_cast<double>(total);
-    for (auto& [id, worker] : workers) {
+    for (worker_state* worker : workers.all()) {
         double suits = 0;
         for (const auto& [image, cores] : demand) {
             bool disturbs = std::any_of(
@@ -404,8 +404,8 @@
     if (expectedPace(worker, step) >= evictBelow)
         return false;
     resources need = bookingOf(spec);
-    return std::any_of(workers.begin(), workers.end(), [&](const auto& each) {
-        const worker_state& other = *each.second;
+    return std::any_of(workers.all().begin(), workers.all().end(), [&](const worker_state* each) {
+        const worker_state& other = *each;
         return usable(other) && other.shunnedUntil <= now && need.fits(other.room())
             && hasLeftOver(other, spec) && expectedPace(other, step) >= evictFor;
     });
@@ -421,8 +421,8 @@
 {
     findPeriod();
     weighWorkers();
-    for (auto& [id, held] : workers) {
-        worker_state& worker = *held;
+    for (worker_state* each : workers.all()) {
+        worker_state& worker = *each;
         bool fresh
             = worker.adopted && now - worker.sampledAt >= sampleMs && worker.answeredAt > worker.sampledAt;
         if (!fresh || (worker.servingCpu == 0 && worker.fillerCpu == 0))
--- a/src/jobs/process/cell_speed.cpp
+++ b/src/jobs/process/cell_speed.cpp
@@ -70,13 +70,13 @@
     if (now - speedsReviewedAt < reviewEveryMs)
         return;
     speedsReviewedAt = now;
-    for (auto& [id, held] : workers) {
+    for (worker_state* held : workers.all()) {
         worker_state& worker = *held;
         bool slow = worker.speed < (worker.slow ? soundSpeed : slowSpeed);
         if (slow != worker.slow) {
             worker.slow = slow;
             log(log_line("worker_speed")
-                    .add("worker", id)
+                    .add("worker", worker.info.id)
                     .add("slow", slow ? 1 : 0)
                     .add("speed_percent", static_cast<int64_t>(100 * worker.speed))
                     .add("tasks", static_cast<int64_t>(worker.placed.size())));
--- a/src/jobs/process/cell_workers.cpp
+++ b/src/jobs/process/cell_workers.cpp
@@ -52,13 +52,12 @@
 
 worker_state& cell_model::workerNamed(const worker_id& id)
 {
-    auto& held = workers[id];
-    if (!held) {
-        held = std::make_unique<worker_state>();
-        held->info.id = id;
-        held->life = leastLife;
-    }
-    return *held;
+    if (worker_state* known = workers.find(id))
+        return *known;
+    auto added = std::make_unique<worker_state>();
+    added->info.id = id;
+    added->life = leastLife;
+    return workers.add(std::move(added));
 }
 
 void cell_model::setWorker(const worker_record& record)
@@ -85,39 +84,35 @@
 
 void cell_model::removeWorker(const worker_id& id)
 {
-    auto found = workers.find(id);
-    if (found == workers.end() || !found->second->listed)
+    worker_state* worker = workers.find(id);
+    if (!worker || !worker->listed)
         return;
-    found->second->listed = false;
+    worker->listed = false;
     log(log_line("worker_unlisted")
             .add("worker", id)
-            .add("tasks", static_cast<int64_t>(found->second->placed.size())));
+            .add("tasks", static_cast<int64_t>(worker->placed.size())));
 }
 
 void cell_model::dropUnlisted()
 {
-    for (auto it = workers.begin(); it != workers.end();) {
-        worker_state& worker = *it->second;
+    workers.eraseIf([&](const worker_state& worker) {
+        if (worker.listed || !worker.placed.empty() || worker.looking)
+            return false;
         bool silent = !worker.adopted || now - worker.answeredAt > settings.maxLeaseMs;
-        if (worker.listed) {
-            ++it;
-            continue;
-        }
         bool writing = std::any_of(
             writingEnds.begin(), writingEnds.end(), [&](const auto& each) { return each.first == &worker; });
-        if (worker.placed.empty() && silent && !worker.looking && !writing) {
-            // Should it come back, orders to it count as to a later life.
-            leastLife = std::max(leastLife, worker.life + 1);
-            it = workers.erase(it);
-        } else
-            ++it;
-    }
+        if (!silent || writing)
+            return false;
+        // Should it come back, orders to it count as to a later life.
+        leastLife = std::max(leastLife, worker.life + 1);
+        return true;
+    });
 }
 
 void cell_model::lookAtWorkers()
 {
     dropUnlisted();
-    for (auto& [id, held] : workers) {
+    for (worker_state* held : workers.all()) {
         if (!held->placed.empty() && leaseSurelyOver(*held))
             loseAll(*held, "lease_over");
         lookAt(*held);
@@ -132,12 +127,8 @@
         return;
     if (!worker.listed && worker.placed.empty())
         return;
-    for (placement& each : worker.placed) {
-        task_copy* copy = findCopy(each);
-        if (copy && copy->phase == copy_phase::doomed && copy->ordered && copy->stopAnsweredAt == 0
-            && now - copy->stopSentAt > stopAgainMs)
-            sendStop(*each.step, each.index, *copy);
-    }
+    if (worker.doomed > 0)
+        stopAgain(worker);
     look_action look { worker.info.id, worker.acknowledged, std::nullopt, 0, worker.life };
     if (worker.adopted) {
         bool shared = worker.servingCpu > 0 && worker.fillerCpu > 0;
@@ -155,6 +146,17 @@
     actions.push_back(look);
 }
 
+// Repeats the stops that were not answered.
+void cell_model::stopAgain(worker_state& worker)
+{
+    for (placement& each : worker.placed) {
+        task_copy* copy = findCopy(each);
+        if (copy && copy->phase == copy_phase::doomed && copy->ordered && copy->stopAnsweredAt == 0
+            && now - copy->stopSentAt > stopAgainMs)
+            sendStop(*each.step, each.index, *copy);
+    }
+}
+
 bool cell_model::leaseSurelyOver(const worker_state& worker) const
 {
     if (worker.answeredAt == 0) {
@@ -212,10 +214,10 @@
 {
     cell_model& m = *m_model;
     m.now = now;
-    auto found = m.workers.find(look.worker);
-    if (found == m.workers.end())
+    worker_state* found = m.workers.find(look.worker);
+    if (!found)
         return;
-    worker_state& worker = *found->second;
+    worker_state& worker = *found;
     worker.looking = false;
     worker.failedLooks++;
     if (m.has(cell_fault::trust_silence) && worker.adopted)
@@ -232,9 +234,8 @@
 void cell::onReport(const worker_id& id, const worker_report& report, ms sentAt, ms now)
 {
     m_model->now = now;
-    auto found = m_model->workers.find(id);
-    if (found != m_model->workers.end())
-        m_model->onReport(*found->second, report, sentAt);
+    if (worker_state* found = m_model->workers.find(id))
+        m_model->onReport(*found, report, sentAt);
 }
 
 void cell_model::onReport(worker_state& worker, const worker_report& report, ms sentAt)
@@ -272,9 +273,10 @@
         }
     }
     worker.unknownRuns = 0;
+    worker.listedRuns = 0;
     for (const running_task& each : report.running)
         noteRunning(worker, each);
-    if (report.ended.size() < mostEndsListed)
+    if (worker.listedRuns < worker.placed.size() && report.ended.size() < mostEndsListed)
         noteAbsent(worker, sentAt);
     lookAt(worker);
 }
@@ -295,6 +297,7 @@
         actions.push_back(stop_action { worker.info.id, seen.task, seen.run, worker.life });
         return;
     }
+    worker.listedRuns += copy->listedIn != worker.reports;
     copy->listedIn = worker.reports;
     noteStarted(*step->job);
     bool restored = copy->phase == copy_phase::restored;
@@ -452,7 +455,11 @@
     worker.fillers.end({ &step, index, run }, now);
     worker.fillersChangedAt = spec.filler ? now : worker.fillersChangedAt;
     worker.servingCpu -= spec.lasting ? spec.cpuMilli : 0;
-    std::erase_if(task.copies, [&](const task_copy& each) { return each.run == run && each.on == &worker; });
+    std::erase_if(task.copies, [&](const task_copy& each) {
+        bool ends = each.run == run && each.on == &worker;
+        worker.doomed -= ends && each.phase == copy_phase::doomed;
+        return ends;
+    });
     placeNeeded = true;
 }
 
@@ -485,6 +492,7 @@
     if (copy.phase == copy_phase::doomed)
         return;
     copy.phase = copy_phase::doomed;
+    copy.on->doomed++;
     copy.stopAnsweredAt = 0;
     log(log_line("task_stop")
             .add("task", step.ref(index).str())
@@ -499,9 +507,9 @@
 {
     cell_model& m = *m_model;
     m.now = now;
-    auto at = m.workers.find(stop.worker);
-    if (outcome == order_outcome::fenced && at != m.workers.end())
-        m.noteFenced(*at->second, stop.life);
+    worker_state* at = m.workers.find(stop.worker);
+    if (outcome == order_outcome::fenced && at)
+        m.noteFenced(*at, stop.life);
     step_run* step = m.findStep(stop.task);
     task_copy* copy = step ? cell_model::findCopy({ step, stop.task.index, stop.run }) : nullptr;
     if (!copy || copy->on->info.id != stop.worker)
@@ -566,7 +574,7 @@
 // stopped, with a checkpoint where they have one, shortly before the worker goes.
 void cell_model::emptyDraining()
 {
-    for (auto& [id, held] : workers) {
+    for (worker_state* held : workers.all()) {
         worker_state& worker = *held;
         if (!worker.info.draining || !worker.adopted)
             continue;
--- /dev/null
+++ b/src/jobs/process/worker_table.h
@@ -0,0 +1,53 @@
+// The workers of a cell: found by id, and walked in the order of their ids, in which placing decides between
+// workers that suit alike.
+#pragma once
+
+#include "jobs/jobs.h"
+
+#include <algorithm>
+
+namespace camphorwell {
+
+// `state` has the members `info.id`, and `place`, its position in `all`.
+template <typename state> class worker_table {
+public:
+    state* find(const worker_id& id) const
+    {
+        auto found = m_byId.find(id);
+        return found == m_byId.end() ? nullptr : found->second.get();
+    }
+
+    // The id must be new.
+    state& add(std::unique_ptr<state> added)
+    {
+        auto at = std::lower_bound(m_all.begin(), m_all.end(), added->info.id,
+            [](const state* each, const worker_id& id) { return each->info.id < id; });
+        m_all.insert(at, added.get());
+        number();
+        worker_id id = added->info.id;
+        return *m_byId.emplace(std::move(id), std::move(added)).first->second;
+    }
+
+    template <typename predicate> void eraseIf(predicate&& leaves)
+    {
+        size_t before = m_all.size();
+        std::erase_if(
+            m_all, [&](state* each) { return leaves(*each) && m_byId.erase(worker_id(each->info.id)); });
+        if (m_all.size() != before)
+            number();
+    }
+
+    const std::vector<state*>& all() const { return m_all; }
+    size_t size() const { return m_all.size(); }
+
+private:
+    void number()
+    {
+        for (size_t i = 0; i < m_all.size(); i++)
+            m_all[i]->place = i;
+    }
+    std::unordered_map<worker_id, std::unique_ptr<state>> m_byId;
+    std::vector<state*> m_all; // By id.
+};
+
+} // namespace camphorwell
