A slow store is not taken for a silent one; callers come back later the longer an outage lasts

Now the time that answers took of late sets both limits, each hand-in is told at its deadline, and Retry-After grows with the outage.

--- a/src/scheduler/request/front.cpp
+++ b/src/scheduler/request/front.cpp
@@ -10,7 +10,7 @@
 namespace {
 
     constexpr ms waitDefaultMs = 3000; // How long a caller waits who does not say.
-    constexpr double waitShare = 0.85; // Of the caller's time is used before the answer is final.
+    constexpr double waitShare = 0.93; // Of the caller's time is used before the answer is final.
     constexpr ms askTimeoutMs = 600;
     constexpr ms askAgainMs = 100;
     constexpr ms unreadyMs = 800; // Without the store for so long, and without an instance that has it.
@@ -18,7 +18,6 @@
     constexpr ms decideAgainMs = 40; // While others may still say whether they have the store.
     constexpr size_t askedAtOnce = 4; // Others, each time; half of another data centre.
     constexpr int relaysAtMost = 2; // Of one record; each may take most of the caller's time.
-    constexpr int retryAfterS = 1; // Three or four tries within the 3 s that callers wait.
     constexpr size_t bodyBytesAtMost = 1 << 20;
     constexpr int64_t idleMs = 60'000;
     constexpr size_t waitingAtMost = 2000; // Records that wait for the log.
@@ -83,7 +82,7 @@
 way_in front::wayIn()
 {
     ms now = bootNow();
-    m_reach.observe(m_context.store.silentMs(), now);
+    m_reach.observe(m_context.store.silentMs(), m_context.store.slowestMs(), now);
     return m_reach.choose(now);
 }
 
@@ -151,8 +150,9 @@
     if (!body.empty())
         headers.emplace_back("Content-Type", "application/json");
     if (status == 503 || status == 429) {
-        bool elsewhere = wayIn() == way_in::cut_off;
-        headers.emplace_back("Retry-After", elsewhere ? "0" : std::to_string(retryAfterS));
+        way_in way = wayIn();
+        int seconds = store_reach::retryAfterS(way, m_reach.troubledFor(bootNow()));
+        headers.emplace_back("Retry-After", std::to_string(seconds));
     }
     if (m_leaving)
         headers.emplace_back("Connection", "close");
--- a/src/scheduler/request/job_log.cpp
+++ b/src/scheduler/request/job_log.cpp
@@ -6,7 +6,11 @@
 namespace camphorwell {
 
 namespace {
-    constexpr ms appendTimeoutMs = 700; // Almost three times an append when the store is 60 times as slow.
+    // Almost three times an append when the store is 60 times as slow; a store that is slower still is given
+    // more time, since a repeated append waits behind the first.
+    constexpr ms appendTimeoutMs = 700;
+    constexpr ms appendTimeoutMostMs = 2000;
+    constexpr ms slowTimes = 4; // The slowest answer of late.
     constexpr ms retryMs = 120;
 } // namespace
 
@@ -15,7 +19,7 @@
     , m_partition(static_cast<int>(
           stableHash(context.settings.instance) % static_cast<uint64_t>(context.settings.store.partitions)))
     , m_waiting(static_cast<size_t>(context.settings.cells))
-    , m_busy(static_cast<size_t>(context.settings.cells))
+    , m_writing(static_cast<size_t>(context.settings.cells))
 {
 }
 
@@ -27,71 +31,102 @@
     return out;
 }
 
+void job_log::entry::end(outcome what)
+{
+    handler told;
+    told.swap(done);
+    if (told)
+        told(what);
+}
+
 void job_log::append(int cell, std::string key, std::string value, ms deadline, handler done)
 {
-    m_waiting[static_cast<size_t>(cell)].push_back(
-        { platform::keyedRecord(key, value), deadline, std::move(done), false });
+    auto at = static_cast<size_t>(cell);
+    m_waiting[at].push_back({ platform::keyedRecord(key, value), deadline, std::move(done), false });
+    m_context.loop.after(std::max<ms>(0, deadline - bootNow()), [this, at] { expire(at); });
     flush(cell);
 }
 
-void job_log::flush(int cell)
+void job_log::expire(size_t cell)
 {
-    auto at = static_cast<size_t>(cell);
-    if (m_busy[at])
-        return;
     ms now = bootNow();
-    auto batch = std::make_shared<std::vector<entry>>();
-    batch->swap(m_waiting[at]);
-    std::erase_if(*batch, [&](entry& each) {
+    std::vector<entry> over;
+    std::erase_if(m_waiting[cell], [&](entry& each) {
         if (now < each.deadline)
             return false;
-        each.done(each.maybeDone ? outcome::unknown : outcome::refused);
+        over.push_back(std::move(each));
         return true;
     });
-    if (batch->empty())
-        return;
-    platform::append_request request { platform::keyedTopic("jobs-" + std::to_string(cell)), m_partition, {},
-        {}, {} };
+    for (auto& each : over)
+        each.end(each.maybeDone ? outcome::unknown : outcome::refused);
+    batch writing = m_writing[cell];
+    for (size_t i = 0; writing && i < writing->size(); i++) {
+        if (now >= (*writing)[i].deadline)
+            (*writing)[i].end(outcome::unknown);
+    }
+}
+
+// As many records as fit into one call.
+job_log::batch job_log::takeBatch(size_t cell)
+{
+    auto out = std::make_shared<std::vector<entry>>();
+    auto& waiting = m_waiting[cell];
     size_t bytes = 0;
     size_t taken = 0;
-    for (const auto& each : *batch) {
-        bytes += each.record.size() + 4;
+    while (taken < waiting.size()) {
+        bytes += waiting[taken].record.size() + 4;
         if (taken > 0 && bytes > m_context.settings.store.callBytes)
             break;
-        request.records.push_back(each.record);
         taken++;
     }
-    for (size_t i = taken; i < batch->size(); i++)
-        m_waiting[at].push_back(std::move((*batch)[i]));
-    batch->resize(taken);
-    m_busy[at] = true;
-    m_context.store.append(
-        request, appendTimeoutMs, [this, at, cell, batch](const platform::append_answer& answer) {
-            m_busy[at] = false;
-            if (answer.outcome == platform::store_outcome::done) {
-                for (auto& each : *batch)
-                    each.done(outcome::accepted);
-                flush(cell);
-                return;
-            }
-            m_context.counts["job_append_" + std::string(toString(answer.outcome))]++;
-            bool maybe = answer.outcome == platform::store_outcome::no_answer;
-            bool silent = m_context.store.silentMs() >= store_reach::silentMs;
-            for (auto& each : *batch) {
-                each.maybeDone |= maybe;
-                if (silent)
-                    each.done(each.maybeDone ? outcome::unknown : outcome::refused);
-                else
-                    m_waiting[at].push_back(std::move(each));
-            }
-            if (silent) {
-                std::vector<entry> unsent;
-                unsent.swap(m_waiting[at]);
-                for (auto& each : unsent)
-                    each.done(each.maybeDone ? outcome::unknown : outcome::refused);
-            }
-            m_context.loop.after(retryMs, [this, cell] { flush(cell); });
-        });
+    auto end = waiting.begin() + static_cast<long>(taken);
+    out->assign(std::make_move_iterator(waiting.begin()), std::make_move_iterator(end));
+    waiting.erase(waiting.begin(), end);
+    return out;
+}
+
+void job_log::flush(int cell)
+{
+    auto at = static_cast<size_t>(cell);
+    if (m_writing[at])
+        return;
+    expire(at);
+    if (m_waiting[at].empty() || m_writing[at])
+        return;
+    batch writing = takeBatch(at);
+    m_writing[at] = writing;
+    platform::append_request request { platform::keyedTopic("jobs-" + std::to_string(cell)), m_partition, {},
+        {}, {} };
+    for (const auto& each : *writing)
+        request.records.push_back(each.record);
+    ms patience = std::clamp(slowTimes * m_context.store.slowestMs(), appendTimeoutMs, appendTimeoutMostMs);
+    m_context.store.append(request, patience,
+        [this, at, writing](const platform::append_answer& answer) { onAppended(at, writing, answer); });
+}
+
+void job_log::onAppended(size_t cell, const batch& written, const platform::append_answer& answer)
+{
+    m_writing[cell].reset();
+    if (answer.outcome == platform::store_outcome::done) {
+        for (auto& each : *written)
+            each.end(outcome::accepted);
+        flush(static_cast<int>(cell));
+        return;
+    }
+    m_context.counts["job_append_" + std::string(toString(answer.outcome))]++;
+    for (auto& each : *written) {
+        each.maybeDone |= answer.outcome == platform::store_outcome::no_answer;
+        if (each.done)
+            m_waiting[cell].push_back(std::move(each));
+    }
+    bool silent = m_context.store.silentMs() >= store_reach::silenceThatCounts(m_context.store.slowestMs());
+    if (silent) {
+        std::vector<entry> unsent;
+        unsent.swap(m_waiting[cell]);
+        for (auto& each : unsent)
+            each.end(each.maybeDone ? outcome::unknown : outcome::refused);
+    }
+    m_context.loop.after(retryMs, [this, cell] { flush(static_cast<int>(cell)); });
 }
 
 } // namespace camphorwell
--- a/src/scheduler/request/reach.cpp
+++ b/src/scheduler/request/reach.cpp
@@ -11,9 +11,25 @@
     return names[static_cast<size_t>(way)];
 }
 
-void store_reach::observe(ms silent, ms now)
+ms store_reach::silenceThatCounts(ms slowest)
 {
-    if (silent < silentMs) {
+    return std::clamp(static_cast<ms>(slowTimes * static_cast<double>(slowest)), silentMs, silentMostMs);
+}
+
+int store_reach::retryAfterS(way_in way, ms troubledFor)
+{
+    constexpr ms leastMs = 1000;
+    constexpr ms mostMs = 4000; // A caller who gives up is not served at all.
+    if (way == way_in::cut_off)
+        return 0;
+    if (way != way_in::store_down)
+        return 1;
+    return static_cast<int>((std::clamp(troubledFor, leastMs, mostMs) + 500) / 1000);
+}
+
+void store_reach::observe(ms silent, ms slowest, ms now)
+{
+    if (silent < silenceThatCounts(slowest)) {
         m_troubledAt = m_firstAskedAt = 0;
         m_peers.clear();
     } else if (m_troubledAt == 0) {
--- a/src/scheduler/request/reach.h
+++ b/src/scheduler/request/reach.h
@@ -3,8 +3,9 @@
 //
 // Another instance may still have the store, and takes the work then. When others answer but have no store
 // either, the store is down, and a caller is told to come back in a while. When nobody answers, this instance
-// is cut off, and a caller does best to try another at once. Answers the load of single instances and data
-// centres that are cut off, and of a store that turns some instances away.
+// is cut off, and a caller does best to try another at once. A store whose answers were slow lately is given
+// more time before it counts as silent. Answers the load of single instances and data centres that are cut
+// off, of a store that turns some instances away, and of one that is a hundred times as slow as usual.
 #pragma once
 
 #include "jobs/jobs.h"
@@ -28,8 +29,18 @@
     static constexpr ms patienceMs = 250; // For their answers.
     static constexpr ms freshMs = 900; // What another said holds for so long.
 
-    // `silent`: for how long the store has left calls without an answer.
-    void observe(ms silent, ms now);
+    static constexpr ms silentMostMs = 1200; // So that a caller who waits 3 s can still be helped.
+    static constexpr double slowTimes = 2.5; // The slowest answer of late, so many times.
+
+    // The silence from which on a store is in trouble, after an answer that took `slowest`.
+    static ms silenceThatCounts(ms slowest);
+    // Seconds after which a caller who was refused does best to come back. An outage that has lasted is
+    // expected to last as long again, so that the few tries that a caller has reach its end.
+    static int retryAfterS(way_in, ms troubledFor);
+
+    // `silent`: for how long the store has left calls without an answer; `slowest`: the longest that it took
+    // for one of late.
+    void observe(ms silent, ms slowest, ms now);
     // Whether others are to be asked now; the caller asks them.
     bool mustAsk(ms now);
     void onPeer(const std::string& address, bool hasStore, ms now);
@@ -37,6 +48,7 @@
     // An instance that has the store; for `peer`.
     std::string peer(ms now) const;
     bool troubled() const { return m_troubledAt != 0; }
+    ms troubledFor(ms now) const { return troubled() ? now - m_troubledAt : 0; }
 
 private:
     struct seen {
--- a/src/scheduler/scheduler.h
+++ b/src/scheduler/scheduler.h
@@ -132,8 +132,8 @@
     enum class outcome { accepted, refused, unknown };
     using handler = std::function<void(outcome)>;
     explicit job_log(scheduler_context&);
-    // Tries until `deadline`, or until the store falls silent. `refused` means that the record is not in the
-    // log and never will be.
+    // Tries until `deadline`, or until the store falls silent, and says what came of it then. `refused` means
+    // that the record is not in the log and never will be.
     void append(int cell, std::string key, std::string value, ms deadline, handler);
     size_t waiting() const;
 
@@ -143,12 +143,18 @@
         ms deadline = 0;
         handler done;
         bool maybeDone = false;
+        void end(outcome);
     };
+    using batch = std::shared_ptr<std::vector<entry>>;
     void flush(int cell);
+    batch takeBatch(size_t cell);
+    void onAppended(size_t cell, const batch&, const platform::append_answer&);
+    // Ends what is over its deadline.
+    void expire(size_t cell);
     scheduler_context& m_context;
     int m_partition;
     std::vector<std::vector<entry>> m_waiting;
-    std::vector<bool> m_busy;
+    std::vector<batch> m_writing; // By cell; none: no append is under way.
 };
 
 struct job_answer {
