While the store is slow, one instance of a data centre appends for all of it

Cause: 97 instances share 16 partitions, and a partition that takes 0.4 s for an append bears 2.5 a second; hand-ins came at that rate. Where instances share partitions, a slow store's records are handed to one instance of the data centre, which commits them in groups. A record that may be in the log is brought there until the caller's time is over, since such an answer cannot be taken back. Retry-After stays within the caller's time.

--- a/src/scheduler/request/front.cpp
+++ b/src/scheduler/request/front.cpp
@@ -17,6 +17,9 @@
     constexpr ms watchEveryMs = 50; // An eighth of the silence that counts.
     constexpr ms decideAgainMs = 40; // While others may still say whether they have the store.
     constexpr size_t askedAtOnce = 4; // Others, each time; half of another data centre.
+    constexpr ms slowStoreMs = 100; // 25 times its usual 4 ms.
+    constexpr ms collectMs = 1500; // For a record that is handed to a collector: two appends and some.
+    constexpr ms insistEveryMs = 150;
     constexpr int relaysAtMost = 2; // Of one record; each may take most of the caller's time.
     constexpr size_t bodyBytesAtMost = 1 << 20;
     constexpr int64_t idleMs = 60'000;
@@ -46,6 +49,7 @@
     bool answered = false;
     bool maybeRecorded = false;
     int relays = 0;
+    bool collected = false; // Was handed to a collector.
 };
 
 front::front(scheduler_context& context, catalogue_follower& catalogue, instance_directory& directory,
@@ -151,7 +155,8 @@
         headers.emplace_back("Content-Type", "application/json");
     if (status == 503 || status == 429) {
         way_in way = wayIn();
-        int seconds = store_reach::retryAfterS(way, m_reach.troubledFor(bootNow()));
+        ms now = bootNow();
+        int seconds = store_reach::retryAfterS(way, m_reach.troubledFor(now), call->deadline - now);
         headers.emplace_back("Retry-After", std::to_string(seconds));
     }
     if (m_leaving)
@@ -232,6 +237,10 @@
 {
     switch (wayIn()) {
     case way_in::log:
+        if (auto collector = collectorFor(call)) {
+            call->collected = true;
+            return relay(call, *collector, collectMs);
+        }
         m_jobs.append(
             cellOf(call->id), call->key, call->value, call->deadline, [this, call](job_log::outcome got) {
                 call->maybeRecorded |= got == job_log::outcome::unknown;
@@ -240,13 +249,15 @@
                 else if (wayIn() != way_in::log && bootNow() < call->deadline)
                     record(call);
                 else
-                    refuse(call);
+                    insist(call);
             });
         return;
     case way_in::peer:
-        if (call->relays < relaysAtMost)
-            return relay(call, m_reach.peer(bootNow()));
-        return refuse(call);
+        if (call->relays < relaysAtMost) {
+            call->relays++;
+            return relay(call, m_reach.peer(bootNow()), call->deadline - bootNow());
+        }
+        return insist(call);
     case way_in::undecided:
         if (bootNow() + decideAgainMs >= call->deadline)
             return refuse(call);
@@ -254,18 +265,25 @@
         return;
     case way_in::store_down:
     case way_in::cut_off:
-        refuse(call);
+        insist(call);
     }
 }
 
-void front::relay(const call_ptr& call, const std::string& address)
+std::optional<std::string> front::collectorFor(const call_ptr& call) const
+{
+    bool slow = m_context.store.slowestMs() >= slowStoreMs;
+    return slow && !call->collected ? m_directory.collector(bootNow()) : std::nullopt;
+}
+
+void front::relay(const call_ptr& call, const std::string& address, ms timeout)
 {
-    call->relays++;
     m_context.counts["relayed"]++;
-    ms left = std::max<ms>(1, call->deadline - bootNow());
+    ms left = std::clamp<ms>(call->deadline - bootNow(), 1, std::max<ms>(1, timeout));
     instanceAt(address).call("POST", recordPath + call->key, {}, call->value, left,
         [this, call, address](const http_response& got) {
             call->maybeRecorded |= got.status == 0 || got.status == 504;
+            if (got.status == 0)
+                m_directory.avoid(address, bootNow());
             if (got.status == 200)
                 answer(call, 200, "", "recorded_by_" + address);
             else if (bootNow() < call->deadline)
@@ -275,6 +293,21 @@
         });
 }
 
+void front::insist(const call_ptr& call)
+{
+    if (!call->maybeRecorded || bootNow() + insistEveryMs >= call->deadline)
+        return refuse(call);
+    m_context.loop.after(insistEveryMs, [this, call] {
+        m_jobs.append(
+            cellOf(call->id), call->key, call->value, call->deadline, [this, call](job_log::outcome got) {
+                if (got == job_log::outcome::accepted)
+                    answer(call, 200, "", "recorded");
+                else
+                    insist(call);
+            });
+    });
+}
+
 // The final answer to what could not be recorded: 503 when it surely never will be.
 void front::refuse(const call_ptr& call)
 {
--- a/src/scheduler/request/reach.cpp
+++ b/src/scheduler/request/reach.cpp
@@ -16,7 +16,7 @@
     return std::clamp(static_cast<ms>(slowTimes * static_cast<double>(slowest)), silentMs, silentMostMs);
 }
 
-int store_reach::retryAfterS(way_in way, ms troubledFor)
+int store_reach::retryAfterS(way_in way, ms troubledFor, ms callerLeft)
 {
     constexpr ms leastMs = 1000;
     constexpr ms mostMs = 4000; // A caller who gives up is not served at all.
@@ -24,7 +24,8 @@
         return 0;
     if (way != way_in::store_down)
         return 1;
-    return static_cast<int>((std::clamp(troubledFor, leastMs, mostMs) + 500) / 1000);
+    ms pause = std::min(std::clamp(troubledFor, leastMs, mostMs) + 500, callerLeft);
+    return static_cast<int>(std::max(pause, leastMs) / 1000);
 }
 
 void store_reach::observe(ms silent, ms slowest, ms now)
--- a/src/scheduler/request/reach.h
+++ b/src/scheduler/request/reach.h
@@ -35,8 +35,9 @@
     // The silence from which on a store is in trouble, after an answer that took `slowest`.
     static ms silenceThatCounts(ms slowest);
     // Seconds after which a caller who was refused does best to come back. An outage that has lasted is
-    // expected to last as long again, so that the few tries that a caller has reach its end.
-    static int retryAfterS(way_in, ms troubledFor);
+    // expected to last as long again, so that the few tries that a caller has reach its end; but a caller
+    // whose time is over by then would not come back.
+    static int retryAfterS(way_in, ms troubledFor, ms callerLeft);
 
     // `silent`: for how long the store has left calls without an answer; `slowest`: the longest that it took
     // for one of late.
--- a/src/scheduler/scheduler.h
+++ b/src/scheduler/scheduler.h
@@ -114,6 +114,11 @@
     void leave();
     // HOST:PORT of each, those of the own and of other data centres by turns.
     const std::vector<std::string>& others() const { return m_others; }
+    // The instance of this data centre that appends for all of it while the store is slow, so that they do
+    // not wait for each other's appends; nothing when it is this one, or when there is a partition for each.
+    std::optional<std::string> collector(ms now) const;
+    // It does not answer: another one collects for a while.
+    void avoid(const std::string& address, ms now);
 
 private:
     void announce();
@@ -124,6 +129,8 @@
     std::string m_self;
     bool m_left = false;
     std::vector<std::string> m_others;
+    std::vector<std::string> m_near; // Of this data centre and itself, the first to collect first.
+    std::map<std::string, ms> m_avoidedUntil;
 };
 
 // Appends accepted jobs and cancels, those that arrive meanwhile together.
@@ -205,7 +212,11 @@
     void cancel(const call_ptr&);
     // Brings the call's record into the log, here or at another instance, and answers.
     void record(const call_ptr&);
-    void relay(const call_ptr&, const std::string& address);
+    void relay(const call_ptr&, const std::string& address, ms timeout);
+    // The collector to hand the record to instead of appending it here.
+    std::optional<std::string> collectorFor(const call_ptr&) const;
+    // The record is, or may be, in the log: it is brought there until the caller's time is over.
+    void insist(const call_ptr&);
     void refuse(const call_ptr&);
     void watchStore();
     // Where work can be accepted, by the silence of the store as it is now.
--- a/src/scheduler/version/instances.cpp
+++ b/src/scheduler/version/instances.cpp
@@ -2,6 +2,7 @@
 // what the others have announced. Needed only where the store does not answer: the last reading serves then.
 #include "scheduler/scheduler.h"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 
 namespace camphorwell {
@@ -13,6 +14,7 @@
     constexpr ms readEveryMs = 5'000;
     constexpr ms retryMs = 1'000;
     constexpr ms announceTimeoutMs = 1'500;
+    constexpr ms avoidMs = 5'000;
     constexpr int announcementFormat = 1;
     const char* const topicName = "instances";
 } // namespace
@@ -64,9 +66,27 @@
     });
 }
 
+std::optional<std::string> instance_directory::collector(ms now) const
+{
+    if (static_cast<int>(m_others.size()) < m_context.settings.store.partitions)
+        return std::nullopt;
+    for (const auto& each : m_near) {
+        auto avoided = m_avoidedUntil.find(each);
+        if (avoided == m_avoidedUntil.end() || avoided->second <= now)
+            return each == m_self ? std::nullopt : std::optional(each);
+    }
+    return std::nullopt;
+}
+
+void instance_directory::avoid(const std::string& address, ms now)
+{
+    std::erase_if(m_avoidedUntil, [&](const auto& each) { return each.second <= now; });
+    m_avoidedUntil[address] = now + avoidMs;
+}
+
 void instance_directory::take(const std::vector<platform::keyed_item>& items)
 {
-    std::vector<std::string> near;
+    std::vector<std::string> near { m_self };
     std::vector<std::string> far;
     for (const auto& item : items) {
         try {
@@ -81,6 +101,10 @@
             m_context.counts["announcement_unreadable"]++;
         }
     }
+    m_near = near;
+    std::sort(m_near.begin(), m_near.end(),
+        [](const auto& a, const auto& b) { return stableHash(a) < stableHash(b); });
+    near.erase(near.begin());
     // One of another data centre after each one of this, since either may be cut off.
     m_others.clear();
     for (size_t i = 0; i < std::max(near.size(), far.size()); i++) {
--- a/tests/scheduler/reach_test.cpp
+++ b/tests/scheduler/reach_test.cpp
@@ -89,13 +89,15 @@
 // Five tries, each as late as it is told to: a store that is down for 4.2 s, or for 7 s, is back by the last.
 BOOST_AUTO_TEST_CASE(the_tries_of_a_caller_reach_beyond_an_outage)
 {
+    constexpr ms patient = 20'000;
     for (ms first : { 0, 500, 2'000, 4'000 }) {
         ms at = first;
         for (int tries = 1; tries < 5; tries++)
-            at += 1000 * store_reach::retryAfterS(way_in::store_down, at);
+            at += 1000 * store_reach::retryAfterS(way_in::store_down, at, patient);
         BOOST_TEST(at - first >= 4'200);
         BOOST_TEST(at >= 7'000);
     }
-    BOOST_TEST(store_reach::retryAfterS(way_in::store_down, 100) == 1);
-    BOOST_TEST(store_reach::retryAfterS(way_in::cut_off, 5'000) == 0);
+    BOOST_TEST(store_reach::retryAfterS(way_in::store_down, 100, patient) == 1);
+    BOOST_TEST(store_reach::retryAfterS(way_in::store_down, 4'000, 2'200) == 2);
+    BOOST_TEST(store_reach::retryAfterS(way_in::cut_off, 5'000, patient) == 0);
 }
