--- a/src/scheduler/request/front.cpp
+++ b/src/scheduler/request/front.cpp
@@ -271,7 +271,7 @@
 
 std::optional<std::string> front::collectorFor(const call_ptr& call) const
 {
-    bool slow = m_context.store.slowestMs() >= slowStoreMs;
+    bool slow = m_context.store.slowestMs() >= slowStoreMs || m_jobs.unanswered();
     return slow && !call->collected ? m_directory.collector(bootNow()) : std::nullopt;
 }
 
--- a/src/scheduler/request/job_log.cpp
+++ b/src/scheduler/request/job_log.cpp
@@ -99,9 +99,14 @@
         {}, {} };
     for (const auto& each : *writing)
         request.records.push_back(each.record);
-    ms patience = std::clamp(slowTimes * m_context.store.slowestMs(), appendTimeoutMs, appendTimeoutMostMs);
-    m_context.store.append(request, patience,
-        [this, at, writing](const platform::append_answer& answer) { onAppended(at, writing, answer); });
+    ms patience = std::clamp(
+        std::max(m_patience, slowTimes * m_context.store.slowestMs()), appendTimeoutMs, appendTimeoutMostMs);
+    m_context.store.append(
+        request, patience, [this, at, writing, patience](const platform::append_answer& answer) {
+            // An append that was given up waits at the store all the same, and the next one behind it.
+            m_patience = answer.outcome == platform::store_outcome::no_answer ? 2 * patience : 0;
+            onAppended(at, writing, answer);
+        });
 }
 
 void job_log::onAppended(size_t cell, const batch& written, const platform::append_answer& answer)
--- a/src/scheduler/scheduler.h
+++ b/src/scheduler/scheduler.h
@@ -143,6 +143,8 @@
     // that the record is not in the log and never will be.
     void append(int cell, std::string key, std::string value, ms deadline, handler);
     size_t waiting() const;
+    // The last append got no answer.
+    bool unanswered() const { return m_patience > 0; }
 
 private:
     struct entry {
@@ -161,6 +163,7 @@
     scheduler_context& m_context;
     int m_partition;
     std::vector<std::vector<entry>> m_waiting;
+    ms m_patience = 0; // For the next append, after one that got no answer; 0: there was none.
     std::vector<batch> m_writing; // By cell; none: no append is under way.
 };
 
