--- a/src/jobs/jobs.h
+++ b/src/jobs/jobs.h
@@ -226,8 +226,8 @@
     using gate = std::function<bool()>;
 
     template <typename writer>
-        requires(std::invocable<writer, const log_line&> && !std::same_as<std::decay_t<writer>, decision_log>)
-    decision_log(writer write, gate open = {})
+    requires(std::invocable<writer, const log_line&> && !std::same_as<std::decay_t<writer>, decision_log>)
+        decision_log(writer write, gate open = {})
         : m_write(std::move(write))
         , m_open(std::move(open))
     {
