--- a/src/jobs/process/cell_sharing.cpp
+++ b/src/jobs/process/cell_sharing.cpp
@@ -159,7 +159,7 @@
         for (int i = 0; i < paceSteps; i++)
             figure.ownLoads[static_cast<size_t>(i)]
                 = ownLoad(figure, i * sampleMs + sampleMs / 2, biasKeptLater);
-        worker.serving.push_back(std::move(figure));
+        worker.serving.push_back(figure);
     }
     worker.figuresAt = figures.at;
     worker.beside = std::move(figures.beside);
--- a/tests/platform/platform_test.cpp
+++ b/tests/platform/platform_test.cpp
@@ -1,5 +1,6 @@
 // The platform's formats, the settings of an instance, and the boundary around platform/.
 #define BOOST_TEST_MODULE platform
+#include "platform/body_writer.h"
 #include "scheduler/scheduler.h"
 
 #include <boost/test/unit_test.hpp>
@@ -16,6 +17,9 @@
 const char* const worker
     = R"({"Service":"s","Address":"10.0.0.9:8080","Zone":"north","Version":"v1","Slots":8,
     "State":"ready","ColdLeftMs":0,"Capacity":{"Cpu":16000,"MemMb":32768,"Gpu":1},"Labels":["a","r1-3"],"born":77})";
+const char* const report
+    = R"({"ClockMs":482113,"born":77,"Running":[["5c0e7a21d94b36f8.0.1.17",2,"00000bb8",41,
+    1750.5],["5c0e7a21d94b36f8.0.1.18",1,"",0]],"Finished":[[58,"5c0e7a21d94b36f8.0.1.9",1,"done",""]]})";
 const char* const configuration = R"({"Version":7,"Routes":[{"Name":"r","Host":"h","PathPrefix":"/p/",
     "TimeoutMs":3000,"TargetLatencyMs":250,"Priority":1,"Service":"s","MaxAttempts":4,"Stretch":1.5,
     "Advice":{"DecideMs":1,"PeriodMs":1,"ValidMs":3000}}],"Services":[],"Limits":{"MaxBodyBytes":262144}})";
@@ -54,6 +58,61 @@
     BOOST_TEST(!read->draining);
 }
 
+BOOST_AUTO_TEST_CASE(a_report_is_read)
+{
+    platform::report_reader reader;
+    auto read = reader.read(report);
+    BOOST_REQUIRE(read);
+    BOOST_TEST(read->clockWorkerMs == 482113);
+    BOOST_TEST(read->bornUnixMs == 77);
+    BOOST_REQUIRE(read->running.size() == 2);
+    BOOST_TEST(read->running[0].task.str() == "5c0e7a21d94b36f8.0.1.17");
+    BOOST_TEST(read->running[0].run == 2);
+    BOOST_TEST(read->running[0].checkpoint == "00000bb8");
+    BOOST_TEST(read->running[0].percent == 41);
+    BOOST_TEST(read->running[0].load == 1750);
+    BOOST_TEST(read->running[1].load == 0);
+    BOOST_REQUIRE(read->ended.size() == 1);
+    BOOST_TEST(read->ended[0].number == 58);
+    BOOST_TEST((read->ended[0].how == end_kind::done));
+    BOOST_TEST(reader.read(R"({"ClockMs":1})")->running.empty());
+}
+
+// A report with wrong types is refused as a whole: what it leaves out would count as gone.
+BOOST_AUTO_TEST_CASE(foreign_reports_are_refused)
+{
+    platform::report_reader reader;
+    for (const char* bad :
+        { "", "{", "[]", "{}", R"({"ClockMs":"1"})", R"({"ClockMs":1e300})", R"({"ClockMs":1,"Running":{}})",
+            R"({"ClockMs":1,"Running":[["a.0.0.0"]]})", R"({"ClockMs":1,"Running":[["a.0.0.0","1","",0]]})",
+            R"({"ClockMs":1,"Running":[["a.0.0.0",1,7,0]]})",
+            R"({"ClockMs":1,"Finished":[[1,"a.0.0.0",1,"done"]]})" })
+        BOOST_TEST(!reader.read(bad).has_value(), bad);
+    std::mt19937 random(11);
+    int taken = 0;
+    for (int i = 0; i < 100'000; i++)
+        taken += reader.read(spoil(report, random)).has_value();
+    BOOST_TEST(taken > 0);
+    BOOST_TEST(taken < 100'000);
+}
+
+// What is written without a document reads back as what was given.
+BOOST_AUTO_TEST_CASE(bodies_are_json_whatever_their_text)
+{
+    std::mt19937 random(12);
+    for (int i = 0; i < 20'000; i++) {
+        std::string text;
+        for (unsigned length = random() % 12; length > 0; length--)
+            text += static_cast<char>(random() % 4 ? random() % 128 : "\"\\\n\x7f"[random() % 4]);
+        auto number = static_cast<int64_t>(random()) - (int64_t { 1 } << 31);
+        json read = json::parse(platform::body_writer().field("Text", text).field("Number", number).take());
+        BOOST_REQUIRE(read["Text"] == text);
+        BOOST_REQUIRE(read["Number"] == number);
+    }
+    BOOST_TEST(platform::body_writer().take() == "{}");
+    BOOST_TEST(!json::parse(platform::body_writer().field("Text", "\xff").take()).is_discarded());
+}
+
 BOOST_AUTO_TEST_CASE(foreign_worker_records_are_refused)
 {
     json good = json::parse(worker);
