A weak owner is replaced by an instance with twice its processors

Claims and proofs tell the processors of their instance now; one with twice as much claims the cell after 2.5 s. A test that fails without it.

--- a/src/jobs/version/ownership.cpp
+++ b/src/jobs/version/ownership.cpp
@@ -1,6 +1,7 @@
 // See ownership.h.
 #include "jobs/jobs.h"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 
 namespace camphorwell {
@@ -8,13 +9,14 @@
 namespace {
     using nlohmann::json;
     constexpr int claimFormat = 1;
+    constexpr double weakShare = 0.5; // Of this instance's processors, at or under which another is weak.
 } // namespace
 
 std::string encodeClaim(const claim_record& claim)
 {
     std::string out;
     json::to_cbor(json::array({ claimFormat, claim.instance, claim.incarnation, claim.address, claim.token,
-                      claim.released }),
+                      claim.released, claim.processors }),
         out);
     return out;
 }
@@ -31,6 +33,8 @@
         out.address = row.at(3);
         out.token = row.at(4);
         out.released = row.at(5);
+        if (row.size() > 6)
+            out.processors = row.at(6);
         return out;
     } catch (const json::exception&) {
         return std::nullopt;
@@ -43,6 +47,11 @@
 {
 }
 
+bool ownership::ownerIsWeak() const
+{
+    return m_current && m_current->processors > 0 && m_current->processors <= weakShare * m_self.processors;
+}
+
 ownership::step ownership::next(ms now)
 {
     if (m_appending || !m_known || m_stale || now < m_againAt)
@@ -60,7 +69,9 @@
     // Taking over a large cell on a small machine takes longer than the silence of an owner at work.
     ms silence = m_current && m_current->token == 0 ? m_settings.takeOverMs : m_settings.silenceMs;
     ms wait = m_settings.claimDelayMs + (free ? 0 : silence);
-    if (now - since < wait)
+    bool replaces = ownerIsWeak()
+        && now - std::max(m_newOwnerAt, *m_readSince) >= m_settings.weakMs + m_settings.claimDelayMs;
+    if (now - since < wait && !replaces)
         return step::none;
     m_appending = true;
     return step::claim;
@@ -85,6 +96,9 @@
     m_end = end;
     if (!news)
         return;
+    if (!claim || !m_current || claim->instance != m_current->instance
+        || claim->incarnation != m_current->incarnation)
+        m_newOwnerAt = now;
     bool mine = claim && claim->instance == m_self.instance && claim->incarnation == m_self.incarnation;
     m_current = claim;
     m_heardAt = now;
--- a/src/jobs/version/ownership.h
+++ b/src/jobs/version/ownership.h
@@ -4,6 +4,8 @@
 //
 // Answers the load of one owner dying or being cut off: others claim after `silenceMs` without a proof, at
 // once after a released claim, each with its own delay so that one conditional append usually decides.
+// Answers too the load of a cell that only a small instance could claim in time: one with twice its processor
+// time claims the cell after a while.
 #pragma once
 
 #include "jobs/jobs.h"
@@ -16,6 +18,7 @@
     std::string address; // Where other instances reach the owner, HOST:PORT.
     uint64_t token = 0; // 0 in the record that makes the claim, whose offset is not known before.
     bool released = false;
+    double processors = 0; // Of the instance, in cores; 0: not told.
     bool operator==(const claim_record&) const = default;
 };
 std::string encodeClaim(const claim_record&);
@@ -27,6 +30,7 @@
     ms takeOverMs = 6000; // A claim without a proof yet may take so long to take the cell over.
     ms grantForMs = 6000; // An owner grants leases for so long after the sending of its last proof.
     ms againAfterMs = 200; // After an append that failed; a tenth of `silenceMs`.
+    ms weakMs = 2500; // The claim of a weaker instance stands for so long: a takeover and some.
     ms claimDelayMs = 0; // This instance's own delay, at most a few hundred.
 };
 
@@ -70,6 +74,7 @@
     const std::optional<claim_record>& current() const { return m_current; }
 
 private:
+    bool ownerIsWeak() const;
     ownership_settings m_settings;
     claim_record m_self;
     std::optional<claim_record> m_current;
@@ -82,6 +87,7 @@
     ms m_againAt = 0;
     ms m_provedAt = 0;
     ms m_heardAt = 0; // When a proof of the current owner last came.
+    ms m_newOwnerAt = 0; // When it was first heard of.
     std::optional<ms> m_readSince; // Since when reads have worked without a gap.
 };
 
--- a/src/scheduler/process/cell_host.cpp
+++ b/src/scheduler/process/cell_host.cpp
@@ -78,7 +78,8 @@
     , advice(shared.loop, shared.settings.advice)
     , ownership(shared.settings.ownership,
           claim_record { shared.settings.instance, static_cast<uint64_t>(shared.settings.incarnation),
-              shared.settings.address + ":" + std::to_string(shared.settings.internalPort), 0, false })
+              shared.settings.address + ":" + std::to_string(shared.settings.internalPort), 0, false,
+              shared.settings.processors })
 {
 }
 
--- a/src/scheduler/process/settings.cpp
+++ b/src/scheduler/process/settings.cpp
@@ -83,7 +83,8 @@
     out.cell.keepMs = given["keepSeconds"].get<ms>() * 1000;
     out.cell.priorGrantMs = out.ownership.grantForMs;
     // Among instances that could claim a cell, those with more processor time come first.
-    double share = std::min(given["processors"].get<double>(), fullClaimShare);
+    out.processors = given["processors"];
+    double share = std::min(out.processors, fullClaimShare);
     out.ownership.claimDelayMs = static_cast<ms>(stableHash(out.instance) % claimSpreadMs)
         + static_cast<ms>((1 - share / fullClaimShare) * claimSlowestMs);
     return out;
--- a/src/scheduler/scheduler.h
+++ b/src/scheduler/scheduler.h
@@ -39,6 +39,7 @@
     uint16_t internalPort = 0; // For other instances.
     platform::store_settings store;
     std::string advice; // HOST:PORT; empty: there is none.
+    double processors = 1; // Of this instance, in cores.
     int cells = 1;
     ms graceMs = 6000; // From SIGTERM to SIGKILL.
     cell_settings cell;
--- a/tests/jobs/jobs_test.cpp
+++ b/tests/jobs/jobs_test.cpp
@@ -605,6 +605,37 @@
     BOOST_TEST((owner.next(10'000) == ownership::step::none));
 }
 
+// An instance of 0.069 cores claimed a cell of 350 workers while the strong ones had no store, and kept it: a
+// job's first start took 23 s, and lasting tasks were away for 12 s (pbfo-sched-grown, incident inc-f7d7).
+BOOST_AUTO_TEST_CASE(a_weak_owner_is_replaced_by_a_strong_instance)
+{
+    ownership_settings settings;
+    auto claimBy = [](const char* name, double processors, uint64_t token) {
+        return claim_record { name, 1, "10.0.0.1:1", token, false, processors };
+    };
+    // The owner proves its claim every 600 ms all the while.
+    auto claimsAfter = [&](double own, double owner) {
+        ownership standby(settings, claimBy("strong", own, 0));
+        uint64_t end = 1;
+        for (ms now = 0; now < 10'000; now += 25) {
+            if (now % settings.proveEveryMs == 0)
+                standby.onObserved(claimBy("owner", owner, 1), end++, now);
+            if (standby.next(now) == ownership::step::claim)
+                return now;
+        }
+        return ms { -1 };
+    };
+    BOOST_TEST(claimsAfter(0.5, 0.069) >= settings.weakMs);
+    BOOST_TEST(claimsAfter(0.5, 0.069) <= settings.weakMs + 100);
+    BOOST_TEST(claimsAfter(0.5, 0.5) == -1);
+    BOOST_TEST(claimsAfter(0.5, 0.3) == -1); // No change of owner for a small gain.
+    BOOST_TEST(claimsAfter(0.069, 0.5) == -1);
+    BOOST_TEST(claimsAfter(0.5, 0) == -1); // Of an earlier version, which does not tell.
+    auto read = decodeClaim(encodeClaim(claimBy("a", 0.5, 7)));
+    BOOST_REQUIRE(read);
+    BOOST_TEST((*read == claimBy("a", 0.5, 7)));
+}
+
 BOOST_AUTO_TEST_CASE(silence_counts_only_while_reads_work)
 {
     ownership_settings settings;
