--- a/src/jobs/process/cell.h
+++ b/src/jobs/process/cell.h
@@ -3,7 +3,8 @@
 // The parts of the class, a file each:
 //   cell.cpp          jobs: acceptance, cancelling, steps that open, terminal states, what callers are told
 //   cell_progress.cpp records of progress, the write barrier, what a new owner restores
-//   cell_workers.cpp  leases, looks at workers, ends, lost workers
+//   cell_workers.cpp  leases, looks at workers, lost workers
+//   cell_runs.cpp     runs on workers: room, ends, answers to starts and stops
 //   cell_placing.cpp  order of work, choice of workers
 //   cell_speed.cpp    workers that are slow or stand still
 //   cell_sharing.cpp  fillers beside serving tasks: pace, stop
--- a/src/jobs/process/cell_model.h
+++ b/src/jobs/process/cell_model.h
@@ -320,7 +320,6 @@
     void setWorker(const worker_record&);
     void removeWorker(const worker_id&);
     void onReport(worker_state&, const worker_report&, ms sentAt);
-    void takeEnd(worker_state&, const ended_task&);
     void noteRunning(worker_state&, const running_task&);
     void noteAbsent(worker_state&, ms sentAt);
     void lookAtWorkers();
@@ -329,6 +328,11 @@
     void meetNewLife(worker_state&);
     void loseAll(worker_state&, std::string_view why);
     bool leaseSurelyOver(const worker_state&) const;
+    void dropUnlisted();
+    void emptyDraining();
+
+    // cell_runs.cpp
+    void takeEnd(worker_state&, const ended_task&);
     resources bookingOf(const step_spec&) const;
     task_copy& place(step_run&, int index, worker_state&, uint32_t run);
     void removeCopy(step_run&, int index, worker_state&, uint32_t run);
@@ -338,8 +342,6 @@
     void breakGang(step_run&, std::string_view why);
     void noteStarted(job_run&);
     void sendStop(step_run&, int index, task_copy&);
-    void dropUnlisted();
-    void emptyDraining();
 
     // cell_placing.cpp
     void placeWaiting();
@@ -355,7 +357,8 @@
     std::optional<double> rate(
         const step_run&, const task_run&, const queue_policy&, const worker_state&, int members) const;
     // `beside`: the members of its gang that have been planned before it.
-    worker_state* chooseWorker(step_run&, const task_run&, const std::string* rack, const gang_plan* beside);
+    worker_state* chooseMember(
+        const step_run&, const task_run&, const std::string* rack, const gang_plan& beside);
     std::optional<gang_plan> planGang(step_run&, const std::string* rack);
     void commit(step_run&, int index, worker_state&, uint32_t run);
     bool usable(const worker_state&) const;
--- a/src/jobs/process/cell_placing.cpp
+++ b/src/jobs/process/cell_placing.cpp
@@ -191,21 +191,19 @@
     return scoreOf(step, task, worker);
 }
 
-worker_state* cell_model::chooseWorker(
-    step_run& step, const task_run& task, const std::string* rack, const gang_plan* beside)
+// The best worker for the next member of a gang; nothing when none has room beside the others.
+worker_state* cell_model::chooseMember(
+    const step_run& step, const task_run& task, const std::string* rack, const gang_plan& beside)
 {
     const queue_policy* policy = policyOf(*step.job);
-    if (!policy)
-        return nullptr;
     worker_state* best = nullptr;
     double bestScore = 0;
     for (worker_state* each : workers.all()) {
-        worker_state& worker = *each;
-        if (rack && worker.info.rack != *rack)
+        if (!policy || (rack && each->info.rack != *rack))
             continue;
-        auto score = rate(step, task, *policy, worker, beside ? beside->on(worker) : 0);
+        auto score = rate(step, task, *policy, *each, beside.on(*each));
         if (score && (!best || *score > bestScore)) {
-            best = &worker;
+            best = each;
             bestScore = *score;
         }
     }
@@ -217,7 +215,7 @@
 {
     gang_plan plan;
     for (const task_run& task : step.tasks) {
-        worker_state* worker = chooseWorker(step, task, rack, &plan);
+        worker_state* worker = chooseMember(step, task, rack, plan);
         if (!worker)
             return std::nullopt;
         plan.workers.push_back(worker);
--- a/src/jobs/process/cell_sharing.cpp
+++ b/src/jobs/process/cell_sharing.cpp
@@ -5,7 +5,7 @@
 // own load. Own loads are forecast (load_forecast.h). With the forecast, each worker's fillers that disturb
 // are given as much pace as its serving tasks bear in the half second to come, those first whose work is due
 // first; and a filler is placed where it can expect the most pace over the seconds to come. A filler that is
-// held back for long while another worker would bear it is evicted with its checkpoint. Answers the load of
+// held back while another worker would bear it is evicted with its checkpoint. Answers the load of
 // serving tasks whose own traffic swings while batch work fills what they leave.
 #include "jobs/process/cell_model.h"
 
--- a/src/scheduler/request/front.cpp
+++ b/src/scheduler/request/front.cpp
@@ -295,7 +295,8 @@
 
 void front::insist(const call_ptr& call)
 {
-    if (!call->maybeRecorded || bootNow() + insistEveryMs >= call->deadline)
+    bool elsewhere = wayIn() == way_in::cut_off; // Another instance may take it at once.
+    if (!call->maybeRecorded || elsewhere || bootNow() + insistEveryMs >= call->deadline)
         return refuse(call);
     m_context.loop.after(insistEveryMs, [this, call] {
         m_jobs.append(
