--- a/src/jobs/process/cell_placing.cpp
+++ b/src/jobs/process/cell_placing.cpp
@@ -1,9 +1,9 @@
 // Order of work and choice of workers.
 //
 // Order: by the queue's priority, then by the time until which the job meets its objective, lasting tasks
-// after the others of their priority, but for those that were at work and are due again. Jobs that have missed
-// it come after those that still can, and those past three times the objective last. Answers the load of a full
-// service: room goes to the work that still helps its caller.
+// after the others of their priority, but for those that were at work and are due again. Jobs that have
+// missed it come after those that still can, and those past three times the objective last. Answers the load
+// of a full service: room goes to the work that still helps its caller.
 //
 // Choice: lasting tasks go beside others of their image, which fillers disturb alike, at most about a third
 // of a job together, so that the loss of a worker costs each job little. Among those, and for all others that
