Lasting work leaves room for the quick work that is about to come

Quick work goes first only among what waits at the same moment.

Change: lasting tasks that have not run yet leave free what quick work of the service used and waited for of late (peak, half-life 10 s, at most a quarter of the service) beyond what it uses now, counted in whole quick tasks. Tasks that have run go back without asking. Without the check the new test starts 16 lasting tasks where 12 leave room.

--- a/src/jobs/jobs.h
+++ b/src/jobs/jobs.h
@@ -56,6 +56,8 @@
     ms tailTargetMs = 0; // For lasting tasks that serve: the tail of their response times.
     bool filler = false; // Runs on what other tasks leave; its processors are not booked.
     int mayBeAway = 0;
+    // Books processors and gives them back when it is done.
+    bool quick() const { return !lasting && !filler; }
     bool operator==(const step_spec&) const = default;
 };
 
--- a/src/jobs/process/cell_model.h
+++ b/src/jobs/process/cell_model.h
@@ -4,6 +4,7 @@
 #include "jobs/jobs.h"
 #include "jobs/process/filler_history.h"
 #include "jobs/process/load_forecast.h"
+#include "jobs/process/quick_room.h"
 #include "jobs/process/worker_table.h"
 
 #include <algorithm>
@@ -171,6 +172,8 @@
     resources booked; // Fillers book memory and accelerators only.
     int64_t fillerCpu = 0;
     int64_t servingCpu = 0; // Booked by lasting tasks, which use a part of it.
+    int64_t quickCpu = 0; // Booked by all others.
+    int quickTasks = 0;
     std::vector<serving_figure> serving; // As of the last sample.
     filler_history fillers;
     // For each of `serving`, and paces by kind of filler, below 0 where not known. Forgotten after a change
@@ -235,6 +238,17 @@
     }
 };
 
+// Processors of one service, as of the placing pass under way.
+struct service_room {
+    quick_room quick;
+    int64_t spare = 0; // That quick work could use.
+    int64_t capacity = 0;
+    int64_t quickUsed = 0;
+    int64_t quickWaiting = 0;
+    int64_t quickTasks = 0; // Of both.
+    void clear() { spare = capacity = quickUsed = quickWaiting = quickTasks = 0; }
+};
+
 struct cell_model {
     cell_model(cell_settings settings, std::shared_ptr<const queue_table> table, decision_log log)
         : settings(settings)
@@ -265,6 +279,7 @@
     std::vector<job_run*> dirty;
     std::set<job_run*> timed; // Jobs with occurrences to come.
     std::deque<std::pair<ms, job_id>> finished; // Oldest first.
+    std::map<std::string, service_room> rooms; // By service.
     ms placedAt = 0; // When work was last placed.
     ms orderedAt = 0; // When the order of work was last computed.
     std::vector<placement> planned; // Waiting for the next write.
@@ -348,6 +363,9 @@
     void placeWaiting();
     bool placeStep(step_run&);
     bool placeGang(step_run&);
+    void weighRooms();
+    // Whether the task may take room that quick work is about to need.
+    bool mayTakeRoom(const step_run&, const task_run&, const queue_policy&) const;
     struct task_group {
         int patience = 0;
         const worker_state* failedOn = nullptr;
--- a/src/jobs/process/cell_placing.cpp
+++ b/src/jobs/process/cell_placing.cpp
@@ -5,6 +5,8 @@
 // missed it come after those that still can, and those past three times the objective last. Answers the load
 // of a full service: room goes to the work that still helps its caller.
 //
+// Lasting tasks that have not run yet leave quick work the room that it is about to need (quick_room.h).
+//
 // Choice: lasting tasks go beside others of their image, which fillers disturb alike, at most about a third
 // of a job together, so that the loss of a worker costs each job little. Among those, and for all others that
 // book processors, the tightest fit is taken, which keeps large holes for large tasks. Fillers book no
@@ -369,7 +371,7 @@
     for (int index : step.waiting) {
         task_run& task = step.tasks[static_cast<size_t>(index)];
         worker_state* worker = nullptr;
-        if (task.notBefore <= now && !full) {
+        if (task.notBefore <= now && !full && mayTakeRoom(step, task, *policy)) {
             worker = workersFor.best(task);
             full = !worker;
         }
@@ -378,12 +380,54 @@
             continue;
         }
         commit(step, index, *worker, task.lastRun + 1);
+        if (!step.spec->filler)
+            rooms[policy->service].spare -= step.spec->cpuMilli;
         workersFor.again(*worker, task);
     }
     step.waiting.swap(left);
     return !full;
 }
 
+// Sums up what quick work uses and waits for, and what it could still have.
+void cell_model::weighRooms()
+{
+    for (auto& [service, room] : rooms)
+        room.clear();
+    for (const worker_state* worker : workers.all()) {
+        service_room& room = rooms[worker->info.service];
+        room.quickUsed += worker->quickCpu;
+        room.quickTasks += worker->quickTasks;
+        if (!usable(*worker))
+            continue;
+        room.capacity += worker->info.capacity.cpuMilli;
+        room.spare += room.quick.usable(worker->room().cpuMilli);
+    }
+    for (const auto& [order, step] : ready) {
+        const queue_policy* policy = policyOf(*step->job);
+        bool inTime = policy && order.rank <= policy->priority;
+        if (!inTime || !step->spec->quick())
+            continue;
+        service_room& room = rooms[policy->service];
+        auto tasks = static_cast<int64_t>(step->waiting.size());
+        room.quickWaiting += tasks * step->spec->cpuMilli;
+        room.quickTasks += tasks;
+    }
+    for (auto& [service, room] : rooms) {
+        int64_t wanted = room.quickUsed + room.quickWaiting;
+        int64_t size = room.quickTasks > 0 ? wanted / room.quickTasks : 0;
+        room.quick.observe(room.quickUsed, wanted, size, room.capacity, now);
+    }
+}
+
+bool cell_model::mayTakeRoom(const step_run& step, const task_run& task, const queue_policy& policy) const
+{
+    bool comesAnew = step.spec->lasting && !step.spec->filler && task.lastRun == 0;
+    if (!comesAnew)
+        return true;
+    auto found = rooms.find(policy.service);
+    return found == rooms.end() || found->second.spare - step.spec->cpuMilli >= found->second.quick.kept();
+}
+
 void cell_model::placeWaiting()
 {
     ms pause = std::max<ms>(placeEveryMs, static_cast<ms>(workers.size()) / workersAMs);
@@ -400,6 +444,7 @@
         }
         ready.swap(anew);
     }
+    weighRooms();
     std::vector<full_shape> full;
     std::vector<step_run*> order;
     order.reserve(ready.size());
--- a/src/jobs/process/cell_runs.cpp
+++ b/src/jobs/process/cell_runs.cpp
@@ -109,6 +109,8 @@
     worker.forgetPaces();
     worker.fillersChangedAt = spec.filler ? now : worker.fillersChangedAt;
     worker.servingCpu += spec.lasting ? spec.cpuMilli : 0;
+    worker.quickCpu += spec.quick() ? spec.cpuMilli : 0;
+    worker.quickTasks += spec.quick();
     worker.placed.push_back({ &step, index, run });
     task.lastRun = std::max(task.lastRun, run);
     if (spec.filler)
@@ -135,6 +137,8 @@
     worker.fillers.end({ &step, index, run }, now);
     worker.fillersChangedAt = spec.filler ? now : worker.fillersChangedAt;
     worker.servingCpu -= spec.lasting ? spec.cpuMilli : 0;
+    worker.quickCpu -= spec.quick() ? spec.cpuMilli : 0;
+    worker.quickTasks -= spec.quick();
     std::erase_if(task.copies, [&](const task_copy& each) {
         bool ends = each.run == run && each.on == &worker;
         worker.doomed -= ends && each.phase == copy_phase::doomed;
--- a/tests/jobs/order_test.cpp
+++ b/tests/jobs/order_test.cpp
@@ -1,5 +1,6 @@
 // The order of work on a full service.
 #define BOOST_TEST_MODULE order
+#include "jobs/process/quick_room.h"
 #include "tests/jobs/driven.h"
 
 #include <boost/test/unit_test.hpp>
@@ -118,3 +119,62 @@
     BOOST_TEST(d.quickDone - before >= 2);
     BOOST_TEST(!d.lastingRuns());
 }
+
+// Lasting jobs that came between two bursts of quick work took the whole service, and quick work waited for
+// seconds (large trouble-1: 1.5 s for one task in ten).
+BOOST_AUTO_TEST_CASE(lasting_work_leaves_room_for_the_quick_work_to_come)
+{
+    driven d;
+    for (int i = 0; i < 4; i++)
+        d.scheduler.setWorker(worker("w" + std::to_string(i)), d.now);
+    d.scheduler.begin(d.now, d.now);
+    d.step();
+    for (int i = 0; i < 4; i++)
+        d.report("w" + std::to_string(i), {});
+    auto submit = [&](const job_id& id, int count, bool lasting) {
+        job_record record = oneStep(count);
+        record.acceptedUnixMs = d.now;
+        record.spec.steps[0].cpuMilli = 2'000;
+        record.spec.steps[0].lasting = lasting;
+        record.spec.steps[0].estimateMs = 1'000;
+        d.scheduler.addJob(id, record);
+    };
+    auto startsWithin = [&](int turns) {
+        std::vector<start_action> out;
+        for (int i = 0; i < turns; i++) {
+            d.step();
+            for (const auto& each : d.take<start_action>())
+                out.push_back(each);
+        }
+        return out;
+    };
+    submit("first", 4, false);
+    auto first = startsWithin(3);
+    BOOST_REQUIRE(first.size() == 4);
+    std::map<worker_id, worker_report> seen;
+    for (const auto& each : first) {
+        d.scheduler.onStarted(each, order_outcome::done, d.now);
+        worker_report& report = seen[each.worker];
+        report.ended.push_back({ report.ended.size() + 1, each.task, each.run, end_kind::done, "" });
+    }
+    for (const auto& [id, report] : seen)
+        d.report(id, report);
+    submit("lasting", 40, true);
+    BOOST_TEST(startsWithin(3).size() == 12); // Of 16 that have room.
+    submit("second", 4, false);
+    BOOST_TEST(startsWithin(3).size() == 4);
+}
+
+BOOST_AUTO_TEST_CASE(room_for_quick_work_is_bounded_and_fades)
+{
+    quick_room room;
+    room.observe(0, 1'000, 100, 10'000, 0);
+    BOOST_TEST(room.kept() == 1'000);
+    room.observe(600, 600, 100, 10'000, 0);
+    BOOST_TEST(room.kept() == 400);
+    room.observe(0, 0, 0, 10'000, 10'000);
+    BOOST_TEST(room.kept() == 500);
+    room.observe(0, 8'000, 100, 10'000, 10'000);
+    BOOST_TEST(room.kept() == 2'500);
+    BOOST_TEST(room.usable(250) == 200);
+}
