Lasting work that is held back is told in the log

Once a second a service, event room_kept with the job, what it wants, what is spare and what is kept.

--- a/src/jobs/process/cell_model.h
+++ b/src/jobs/process/cell_model.h
@@ -246,6 +246,7 @@
     int64_t quickUsed = 0;
     int64_t quickWaiting = 0;
     int64_t quickTasks = 0; // Of both.
+    ms toldAt = 0; // When the log last said that lasting work is held back.
     void clear() { spare = capacity = quickUsed = quickWaiting = quickTasks = 0; }
 };
 
@@ -365,7 +366,7 @@
     bool placeGang(step_run&);
     void weighRooms();
     // Whether the task may take room that quick work is about to need.
-    bool mayTakeRoom(const step_run&, const task_run&, const queue_policy&) const;
+    bool mayTakeRoom(const step_run&, const task_run&, const queue_policy&);
     struct task_group {
         int patience = 0;
         const worker_state* failedOn = nullptr;
--- a/src/jobs/process/cell_placing.cpp
+++ b/src/jobs/process/cell_placing.cpp
@@ -47,6 +47,7 @@
     constexpr double shunnedWeight = 1e9;
     constexpr ms adviceAgainMs = 500;
     constexpr ms shunYieldsMs = 1000; // A third of what a lasting task may be kept from room that there is.
+    constexpr ms roomToldEveryMs = 1000; // Between lines about lasting work that is held back.
     constexpr ms freshMs = 1500; // A worker must have answered so recently, beyond the wait of a look.
 
     // A size for which no worker of a service had room. For a filler the strain that its image adds counts
@@ -419,13 +420,25 @@
     }
 }
 
-bool cell_model::mayTakeRoom(const step_run& step, const task_run& task, const queue_policy& policy) const
+bool cell_model::mayTakeRoom(const step_run& step, const task_run& task, const queue_policy& policy)
 {
     bool comesAnew = step.spec->lasting && !step.spec->filler && task.lastRun == 0;
     if (!comesAnew)
         return true;
-    auto found = rooms.find(policy.service);
-    return found == rooms.end() || found->second.spare - step.spec->cpuMilli >= found->second.quick.kept();
+    service_room& room = rooms[policy.service];
+    if (room.spare - step.spec->cpuMilli >= room.quick.kept())
+        return true;
+    if (now - room.toldAt >= roomToldEveryMs) {
+        room.toldAt = now;
+        log(log_line("room_kept")
+                .add("service", policy.service)
+                .add("job", step.job->id)
+                .add("wanted", step.spec->cpuMilli)
+                .add("spare", room.spare)
+                .add("kept", room.quick.kept())
+                .add("waited_ms", now - task.waitingSince));
+    }
+    return false;
 }
 
 void cell_model::placeWaiting()
