A stopping instance leaves its loop a turn to write the last answer

Read in the code: the check for the end can run in the same turn of the loop as the last answer, which is handed to the connection and written in the next turn only.

--- a/src/scheduler/process/daemon.cpp
+++ b/src/scheduler/process/daemon.cpp
@@ -36,7 +36,11 @@
     {
         ms spent = bootNow() - leftAt;
         bool served = spent > static_cast<ms>(static_cast<double>(settings.graceMs) * serveShare);
-        if ((served && calls.open() == 0) || spent > settings.graceMs - leaveMarginMs) {
+        // An answer that was given in this turn of the loop is written in the next.
+        bool answered = calls.open() == 0;
+        bool written = answered && answeredBefore;
+        answeredBefore = answered;
+        if ((served && written) || spent > settings.graceMs - leaveMarginMs) {
             log.writeAlways(log_line("stopped").add("open", static_cast<int64_t>(calls.open())));
             context.loop.stop();
             return;
@@ -55,6 +59,7 @@
     std::vector<std::unique_ptr<cell_host>> cells;
     front calls;
     ms leftAt = 0;
+    bool answeredBefore = false; // Every call, at the check before.
 };
 
 scheduler_daemon::scheduler_daemon(event_loop& loop, scheduler_settings settings)
