Rooms and what is learnt have files of their own; every booking counts against spare room

Change: cell_rooms.cpp and cell_learnt.cpp; spare room is lowered where work is booked. Nothing else decides otherwise. Result: the tests of placing, sharing, gangs, worlds, platform and pages pass; no check was changed.

--- a/src/jobs/process/cell.h
+++ b/src/jobs/process/cell.h
@@ -7,7 +7,9 @@
 //   cell_runs.cpp     runs on workers: room, ends, answers to starts and stops
 //   cell_placing.cpp  order of work, choice of workers
 //   cell_speed.cpp    workers that are slow or stand still
+//   cell_rooms.cpp    room that lasting tasks leave for quick work
 //   cell_sharing.cpp  fillers beside serving tasks: pace, stop
+//   cell_learnt.cpp   what is learnt of both, for the next owner
 //   cell_model.h      the state itself
 #pragma once
 
--- /dev/null
+++ b/src/jobs/process/cell_learnt.cpp
@@ -0,0 +1,61 @@
+// What an owner has learnt of fillers and serving tasks, for the next owner of the cell.
+#include "jobs/process/cell_model.h"
+
+#include <nlohmann/json.hpp>
+
+namespace camphorwell {
+
+namespace {
+    constexpr int learntFormat = 1;
+} // namespace
+
+// [format, pressures, period, [[job, occurrence, step, level, cosine, sine]]]
+std::string cell::encodeLearnt() const
+{
+    using nlohmann::json;
+    json waves = json::array();
+    for (const auto& [id, job] : m_model->jobs) {
+        for (const auto& [number, live] : job->live) {
+            for (const step_run& step : live->steps) {
+                const load_wave& wave = step.wave;
+                if (step.ownLoads)
+                    waves.push_back({ id, number, step.number, wave.level, wave.cosine, wave.sine });
+            }
+        }
+    }
+    std::string out;
+    json::to_cbor(
+        json::array({ learntFormat, m_model->pressure.encode(), m_model->swingPeriod, std::move(waves) }),
+        out);
+    return out;
+}
+
+void cell::restoreLearnt(const std::string& bytes)
+{
+    using nlohmann::json;
+    try {
+        json read = json::from_cbor(bytes, true, false);
+        if (!read.is_array() || read.at(0).get<int>() != learntFormat)
+            return;
+        m_model->pressure.restore(read.at(1).get<std::string>());
+        m_model->swingPeriod = read.at(2);
+        for (const auto& row : read.at(3))
+            m_model->earlierWaves[{ row.at(0), row.at(1), row.at(2) }] = { row.at(3), row.at(4), row.at(5) };
+    } catch (const json::exception&) {
+        // Of another writer or a newer format: it is learnt anew.
+    }
+}
+
+// What an earlier owner learnt of a step's load stands for its figures until there are newer ones.
+void cell_model::takeEarlierWave(step_run& step)
+{
+    auto found = earlierWaves.find({ step.job->id, step.occurrence, step.number });
+    if (found == earlierWaves.end())
+        return;
+    step.wave = found->second;
+    step.ownLoads
+        = std::make_unique<load_history>(load_history::of(step.wave, swingPeriod, now + unixOffset));
+    earlierWaves.erase(found);
+}
+
+} // namespace camphorwell
--- a/src/jobs/process/cell_model.h
+++ b/src/jobs/process/cell_model.h
@@ -364,9 +364,6 @@
     void placeWaiting();
     bool placeStep(step_run&);
     bool placeGang(step_run&);
-    void weighRooms();
-    // Whether the task may take room that quick work is about to need.
-    bool mayTakeRoom(const step_run&, const task_run&, const queue_policy&);
     struct task_group {
         int patience = 0;
         const worker_state* failedOn = nullptr;
@@ -395,6 +392,14 @@
     bool endsSoonerElsewhere(const step_run&, const task_copy&) const;
     void reviewSpeeds();
 
+    // cell_rooms.cpp
+    void weighRooms();
+    // Whether the task may take room that quick work is about to need.
+    bool mayTakeRoom(const step_run&, const task_run&, const queue_policy&);
+
+    // cell_learnt.cpp
+    void takeEarlierWave(step_run&);
+
     // cell_sharing.cpp
     void share();
     bool settled(const task_copy& serving) const;
@@ -416,7 +421,6 @@
     static int bearablePace(const running_filler&, const std::vector<double>& free);
     void evictHeldBack(worker_state&, const std::vector<running_filler>&);
     bool movesWell(const worker_state&, const step_run&) const;
-    void takeEarlierWave(step_run&);
 };
 
 } // namespace camphorwell
--- a/src/jobs/process/cell_placing.cpp
+++ b/src/jobs/process/cell_placing.cpp
@@ -47,8 +47,6 @@
     constexpr double shunnedWeight = 1e9;
     constexpr ms adviceAgainMs = 500;
     constexpr ms shunYieldsMs = 1000; // A third of what a lasting task may be kept from room that there is.
-    constexpr ms heldBackMs = 5000; // A lasting task is kept from room for at most so long, of 9 s.
-    constexpr ms roomToldEveryMs = 1000; // Between lines about lasting work that is held back.
     constexpr ms freshMs = 1500; // A worker must have answered so recently, beyond the wait of a look.
 
     // A size for which no worker of a service had room. For a filler the strain that its image adds counts
@@ -260,6 +258,7 @@
     task_run& task = step.tasks[static_cast<size_t>(index)];
     auto pace = static_cast<int64_t>(step.spec->filler ? 100 * expectedPace(worker, step) : 100);
     task.waiting = false;
+    rooms[worker.info.service].spare -= bookingOf(*step.spec).cpuMilli;
     task_copy& copy = place(step, index, worker, run);
     if (auto found = step.tickets.find(worker.info.id); found != step.tickets.end())
         copy.ticket = found->second.value;
@@ -382,66 +381,12 @@
             continue;
         }
         commit(step, index, *worker, task.lastRun + 1);
-        if (!step.spec->filler)
-            rooms[policy->service].spare -= step.spec->cpuMilli;
         workersFor.again(*worker, task);
     }
     step.waiting.swap(left);
     return !full;
 }
 
-// Sums up what quick work uses and waits for, and what it could still have.
-void cell_model::weighRooms()
-{
-    for (auto& [service, room] : rooms)
-        room.clear();
-    for (const worker_state* worker : workers.all()) {
-        service_room& room = rooms[worker->info.service];
-        room.quickUsed += worker->quickCpu;
-        room.quickTasks += worker->quickTasks;
-        if (!usable(*worker))
-            continue;
-        room.capacity += worker->info.capacity.cpuMilli;
-        room.spare += room.quick.usable(worker->room().cpuMilli);
-    }
-    for (const auto& [order, step] : ready) {
-        const queue_policy* policy = policyOf(*step->job);
-        bool inTime = policy && order.rank <= policy->priority;
-        if (!inTime || !step->spec->quick())
-            continue;
-        service_room& room = rooms[policy->service];
-        auto tasks = static_cast<int64_t>(step->waiting.size());
-        room.quickWaiting += tasks * step->spec->cpuMilli;
-        room.quickTasks += tasks;
-    }
-    for (auto& [service, room] : rooms) {
-        int64_t wanted = room.quickUsed + room.quickWaiting;
-        int64_t size = room.quickTasks > 0 ? wanted / room.quickTasks : 0;
-        room.quick.observe(room.quickUsed, wanted, size, room.capacity, now);
-    }
-}
-
-bool cell_model::mayTakeRoom(const step_run& step, const task_run& task, const queue_policy& policy)
-{
-    bool comesAnew = step.spec->lasting && !step.spec->filler && task.lastRun == 0;
-    if (!comesAnew || now - task.waitingSince >= heldBackMs)
-        return true;
-    service_room& room = rooms[policy.service];
-    if (room.spare - step.spec->cpuMilli >= room.quick.kept())
-        return true;
-    if (now - room.toldAt >= roomToldEveryMs) {
-        room.toldAt = now;
-        log(log_line("room_kept")
-                .add("service", policy.service)
-                .add("job", step.job->id)
-                .add("wanted", step.spec->cpuMilli)
-                .add("spare", room.spare)
-                .add("kept", room.quick.kept())
-                .add("waited_ms", now - task.waitingSince));
-    }
-    return false;
-}
-
 void cell_model::placeWaiting()
 {
     ms pause = std::max<ms>(placeEveryMs, static_cast<ms>(workers.size()) / workersAMs);
--- a/src/jobs/process/interference.cpp
+++ b/src/jobs/process/interference.cpp
@@ -67,16 +67,13 @@
     std::array<std::array<double, traitCount + 1>, traitCount> m_rows {};
 };
 
-namespace {
-    // By the image's number, alike in every run.
-    template <typename traits> traits firstSensitivity(image_id image)
-    {
-        traits out { 1 };
-        for (size_t i = 1; i < out.size(); i++)
-            out[i] = (static_cast<size_t>(image) >> (i - 1)) % 2 ? traitSeed : -traitSeed;
-        return out;
-    }
-} // namespace
+interference::traits interference::firstSensitivity(image_id image)
+{
+    traits out { 1 };
+    for (size_t i = 1; i < out.size(); i++)
+        out[i] = (static_cast<size_t>(image) >> (i - 1)) % 2 ? traitSeed : -traitSeed;
+    return out;
+}
 
 image_id interference::idOf(const std::string& image)
 {
@@ -85,7 +82,7 @@
     if (fresh) {
         m_names.push_back(name);
         m_systems.emplace_back();
-        m_sensitivities.push_back(firstSensitivity<traits>(at->second));
+        m_sensitivities.push_back(firstSensitivity(at->second));
         m_disturbances.push_back({ defaultPressure });
     }
     return at->second;
@@ -326,7 +323,7 @@
         const system& known = m_systems[image];
         if (known.values.empty())
             continue;
-        trait_fit fit(firstSensitivity<traits>(static_cast<image_id>(image)));
+        trait_fit fit(firstSensitivity(static_cast<image_id>(image)));
         for (size_t i = 0; i < known.values.size(); i++)
             fit.observe(m_disturbances[static_cast<size_t>(known.fillers[i])], estimateOf(known, i));
         m_sensitivities[image] = fit.solve();
--- a/src/jobs/process/interference.h
+++ b/src/jobs/process/interference.h
@@ -64,6 +64,8 @@
     static constexpr int notAmong = -1;
     static constexpr size_t traitCount = 4;
     using traits = std::array<double, traitCount>;
+    // Of a serving image that nothing is known of; by its number, alike in every run.
+    static traits firstSensitivity(image_id);
     // Of one serving image.
     struct system {
         double least = 0; // Least tail / target seen.
--- a/tests/jobs/sharing_test.cpp
+++ b/tests/jobs/sharing_test.cpp
@@ -174,26 +174,43 @@
 
 } // namespace
 
-BOOST_AUTO_TEST_CASE(a_few_seconds_of_figures_forecast_the_next)
+namespace {
+
+constexpr int64_t wavesStart = 1'700'000'000'000;
+
+// Histories of waves that differ in phase, with figures that are rough by so much.
+std::vector<load_history> roughWaves(size_t count, ms span, double roughness, unsigned seed)
 {
-    std::mt19937 random(11);
-    std::normal_distribution<> rough(0, 0.07);
-    std::vector<load_history> histories(12);
-    int64_t start = 1'700'000'000'000;
-    for (int64_t at = start; at < start + 15'000; at += 500) {
-        for (size_t i = 0; i < histories.size(); i++)
-            histories[i].observe(at, wave(at, static_cast<double>(i)) + rough(random), 1);
+    std::mt19937 random(seed);
+    std::normal_distribution<> rough(0, roughness);
+    std::vector<load_history> out(count);
+    for (int64_t at = wavesStart; at < wavesStart + span; at += 500) {
+        for (size_t i = 0; i < count; i++)
+            out[i].observe(at, wave(at, static_cast<double>(i)) + rough(random), 1);
     }
+    return out;
+}
+
+std::optional<double> periodOf(const std::vector<load_history>& histories, double typical)
+{
     std::vector<const load_history*> all;
     for (const auto& each : histories)
         all.push_back(&each);
-    auto period = commonPeriod(all, 0.45);
+    return commonPeriod(all, typical);
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(a_few_seconds_of_figures_forecast_the_next)
+{
+    std::vector<load_history> histories = roughWaves(12, 15'000, 0.07, 11);
+    auto period = periodOf(histories, 0.45);
     BOOST_REQUIRE(period.has_value());
     BOOST_TEST(std::abs(*period - periodMs) < 0.05 * periodMs);
     double worst = 0;
     for (size_t i = 0; i < histories.size(); i++) {
         load_wave fit = histories[i].fit(*period, 0.45);
-        for (int64_t at = start + 15'000; at < start + 18'000; at += 500)
+        for (int64_t at = wavesStart + 15'000; at < wavesStart + 18'000; at += 500)
             worst = std::max(worst, std::abs(fit.at(at, *period) - wave(at, static_cast<double>(i))));
     }
     BOOST_TEST(worst < 0.12); // The swing is 0.42 from trough to peak.
@@ -202,18 +219,7 @@
 // What fillers do and is not learnt yet hides a third of the swing.
 BOOST_AUTO_TEST_CASE(a_period_is_found_from_little_more_than_one_swing)
 {
-    std::mt19937 random(13);
-    std::normal_distribution<> rough(0, 0.13);
-    std::vector<load_history> histories(24);
-    int64_t start = 1'700'000'000'000;
-    for (int64_t at = start; at < start + 11'500; at += 500) {
-        for (size_t i = 0; i < histories.size(); i++)
-            histories[i].observe(at, wave(at, static_cast<double>(i)) + rough(random), 1);
-    }
-    std::vector<const load_history*> all;
-    for (const auto& each : histories)
-        all.push_back(&each);
-    auto period = commonPeriod(all, 0.45);
+    auto period = periodOf(roughWaves(24, 11'500, 0.13, 13), 0.45);
     BOOST_REQUIRE(period.has_value());
     BOOST_TEST(std::abs(*period - periodMs) < 0.15 * periodMs);
 }
@@ -249,10 +255,7 @@
         for (auto& each : histories)
             each.observe(at, rough(random), 1);
     }
-    std::vector<const load_history*> all;
-    for (const auto& each : histories)
-        all.push_back(&each);
-    BOOST_TEST(!commonPeriod(all, 0.4).has_value());
+    BOOST_TEST(!periodOf(histories, 0.4).has_value());
     BOOST_TEST(std::abs(histories[0].fit(0, 0.45).at(30'000, 0) - 0.4) < 0.05);
 }
 
