When a stopping instance may end is a decision of its own, with a test

Two checks that find no call open do not show that the answers are written: a call taken and answered between them may be answered in the turn of the second.

Change: leave_check, without input or output, also asks that no call was taken between two checks. leave_test plays a real server and loop whose last call is answered in the turn of the first check: with the rule of before (no call open) the caller gets nothing and the connection ends; now the whole answer. Its two other cases hold the rest of the rule.

--- a/src/scheduler/process/daemon.cpp
+++ b/src/scheduler/process/daemon.cpp
@@ -1,12 +1,11 @@
 // One instance: its parts, its start and its graceful stop.
+#include "scheduler/process/leave_check.h"
 #include "scheduler/scheduler.h"
 
 namespace camphorwell {
 
 namespace {
     constexpr int logLinesPerSecond = 400;
-    constexpr double serveShare = 0.55; // Of the grace period callers are still served.
-    constexpr ms leaveMarginMs = 700; // Before the end of the grace period the process is gone.
     constexpr ms leaveCheckMs = 100;
     constexpr ms figuresEveryMs = 5000;
 } // namespace
@@ -34,13 +33,7 @@
 
     void checkLeft()
     {
-        ms spent = bootNow() - leftAt;
-        bool served = spent > static_cast<ms>(static_cast<double>(settings.graceMs) * serveShare);
-        // An answer that was given in this turn of the loop is written in the next.
-        bool answered = calls.open() == 0;
-        bool written = answered && answeredBefore;
-        answeredBefore = answered;
-        if ((served && written) || spent > settings.graceMs - leaveMarginMs) {
+        if (leaving.mayEnd(bootNow() - leftAt, calls.open(), calls.taken())) {
             log.writeAlways(log_line("stopped").add("open", static_cast<int64_t>(calls.open())));
             context.loop.stop();
             return;
@@ -59,7 +52,7 @@
     std::vector<std::unique_ptr<cell_host>> cells;
     front calls;
     ms leftAt = 0;
-    bool answeredBefore = false; // Every call, at the check before.
+    leave_check leaving { settings.graceMs };
 };
 
 scheduler_daemon::scheduler_daemon(event_loop& loop, scheduler_settings settings)
--- a/src/scheduler/request/front.cpp
+++ b/src/scheduler/request/front.cpp
@@ -183,6 +183,7 @@
     ms wait = platform::timeLeft(asked->request).value_or(waitDefaultMs);
     asked->deadline = asked->receivedAt + static_cast<ms>(static_cast<double>(wait) * waitShare);
     m_open++;
+    m_taken++;
     const platform::configuration* current = m_catalogue.current();
     if (!current)
         return answer(asked, 503, "", "no_configuration");
--- a/src/scheduler/scheduler.h
+++ b/src/scheduler/scheduler.h
@@ -203,7 +203,8 @@
     ~front();
     result<void> listen();
     void leave() { m_leaving = true; }
-    size_t open() const { return m_open; }
+    size_t open() const { return m_open; } // Calls that are not answered yet.
+    uint64_t taken() const { return m_taken; } // All calls so far.
 
 private:
     struct call;
@@ -247,6 +248,7 @@
     std::map<std::string, std::unique_ptr<http_client>> m_others;
     bool m_leaving = false;
     size_t m_open = 0;
+    uint64_t m_taken = 0;
 };
 
 class scheduler_daemon {
--- /dev/null
+++ b/tests/scheduler/leave_test.cpp
@@ -0,0 +1,96 @@
+// The end of an instance that is stopping.
+#define BOOST_TEST_MODULE leave
+#include "net/net.h"
+#include "scheduler/process/leave_check.h"
+
+#include <arpa/inet.h>
+#include <boost/test/unit_test.hpp>
+#include <sys/socket.h>
+#include <unistd.h>
+
+using namespace camphorwell;
+
+namespace {
+
+constexpr ms graceMs = 6'000;
+constexpr ms servedMs = 3'400; // Callers have been served for their part of the grace period.
+constexpr uint16_t port = 19795;
+
+// A server whose one call is answered in the turn of the loop in which the end is considered first.
+struct last_call {
+    event_loop loop;
+    std::shared_ptr<http_reply> reply;
+    size_t open = 0;
+    uint64_t taken = 0;
+    http_server server { loop, {}, [this](const http_request&, const std::shared_ptr<http_reply>& to) {
+                            reply = to;
+                            open++;
+                            taken++;
+                            loop.after(50, [this] { answerAndCheck(); });
+                        } };
+    leave_check leaving { graceMs };
+
+    void answerAndCheck()
+    {
+        reply->send(200, {}, "whole");
+        open--;
+        check();
+    }
+    void check()
+    {
+        if (leaving.mayEnd(servedMs, open, taken))
+            loop.stop();
+        else
+            loop.after(20, [this] { check(); });
+    }
+    // What its caller has got when the loop has stopped.
+    std::string play()
+    {
+        BOOST_REQUIRE(static_cast<bool>(server.listen("127.0.0.1", port)));
+        int fd = socket(AF_INET, SOCK_STREAM, 0);
+        sockaddr_in address {};
+        address.sin_family = AF_INET;
+        address.sin_port = htons(port);
+        inet_pton(AF_INET, "127.0.0.1", &address.sin_addr);
+        BOOST_REQUIRE(connect(fd, reinterpret_cast<sockaddr*>(&address), sizeof address) == 0);
+        const std::string request = "GET /a HTTP/1.1\r\nHost: h\r\n\r\n";
+        BOOST_REQUIRE(write(fd, request.data(), request.size()) == static_cast<ssize_t>(request.size()));
+        loop.after(5'000, [this] { loop.stop(); });
+        loop.run();
+        char buffer[4096];
+        ssize_t got = recv(fd, buffer, sizeof buffer, MSG_DONTWAIT);
+        close(fd);
+        return got > 0 ? std::string(buffer, static_cast<size_t>(got)) : std::string();
+    }
+};
+
+} // namespace
+
+// The process ended in the turn of the loop in which its last call was answered, and the answer was not
+// written (nubedulce-sched-grown hunt-7773-15, LOST).
+BOOST_AUTO_TEST_CASE(the_last_answer_is_written_before_the_end)
+{
+    last_call d;
+    BOOST_TEST(d.play().find("whole") != std::string::npos);
+}
+
+BOOST_AUTO_TEST_CASE(a_call_that_came_between_two_checks_puts_the_end_off)
+{
+    leave_check leaving(graceMs);
+    BOOST_TEST(!leaving.mayEnd(servedMs, 0, 7));
+    BOOST_TEST(!leaving.mayEnd(servedMs + 100, 0, 8)); // Taken and answered since.
+    BOOST_TEST(!leaving.mayEnd(servedMs + 200, 1, 9));
+    BOOST_TEST(!leaving.mayEnd(servedMs + 300, 0, 9));
+    BOOST_TEST(leaving.mayEnd(servedMs + 400, 0, 9));
+}
+
+BOOST_AUTO_TEST_CASE(callers_are_served_until_the_balancer_has_left_and_no_longer_than_the_grace_period)
+{
+    leave_check leaving(graceMs);
+    for (ms spent = 0; spent < 3'300; spent += 100)
+        BOOST_TEST(!leaving.mayEnd(spent, 0, 1));
+    BOOST_TEST(leaving.mayEnd(3'400, 0, 1));
+    leave_check busy(graceMs);
+    BOOST_TEST(!busy.mayEnd(5'200, 3, 1));
+    BOOST_TEST(busy.mayEnd(5'400, 3, 1));
+}
