Log what becomes of the records of finished jobs

Why: in the incident of finished jobs that started again, no line told which record of a job was left in the log of jobs, so lost tombstones, a change of leader and repeated submissions looked alike, and incomplete progress could not be told from progress that had been deleted.

Change: lines record_of_ended_job, job_without_progress, job_deletion_failed and job_forgotten; cell_lost counts the finished jobs whose records were not deleted yet; counters jobs_deleted and job_deletion_OUTCOME. No decision changes. Measured: platform_test and jobs_test pass.

--- a/src/jobs/process/cell.cpp
+++ b/src/jobs/process/cell.cpp
@@ -71,6 +71,8 @@
     for (auto& [id, job] : m_model->jobs) {
         if (!job->hasRecord && !job->isOver())
             m_model->log(log_line("progress_without_job").add("job", id));
+        if (job->hasRecord && !job->isOver() && !job->hasProgress)
+            m_model->log(log_line("job_without_progress").add("id", id).add("age_ms", now - job->acceptedAt));
     }
     m_model->placingNeeded = true;
 }
@@ -183,6 +185,8 @@
         slot->id = id;
     }
     job_run& job = *slot;
+    if (job.isOver())
+        log(log_line("record_of_ended_job").add("id", id).add("state", toString(job.state)));
     if (job.hasRecord || job.isOver())
         return;
     job.hasRecord = true;
--- a/src/jobs/process/cell_model.h
+++ b/src/jobs/process/cell_model.h
@@ -127,6 +127,7 @@
     std::map<int64_t, std::unique_ptr<occurrence_run>> liveOccurrences;
     std::shared_ptr<const std::string> payload;
     std::string unappliedProgress; // Progress restored before the record of the job itself.
+    bool hasProgress = false; // An earlier leader has recorded progress of the job.
 
     bool isOver() const { return state >= job_state::completed; }
 };
--- a/src/jobs/process/cell_progress.cpp
+++ b/src/jobs/process/cell_progress.cpp
@@ -81,9 +81,11 @@
         m_model->log(log_line("progress_unreadable").add("job", id));
         return;
     }
+    slot->hasProgress = true;
     auto state = static_cast<job_state>(row[1].get<int>());
     if (state >= job_state::completed) {
         slot->state = slot->durableState = state;
+        slot->finishedAt = m_model->now;
         m_model->finishedJobs.emplace_back(m_model->now, id);
         return;
     }
@@ -173,6 +175,12 @@
             continue;
         }
         std::erase(retiringJobs, job);
+        log.rateLimited([&] {
+            return log_line("job_forgotten")
+                .add("id", id)
+                .add("state", toString(job->state))
+                .add("ended_ms_ago", now - job->finishedAt);
+        });
         jobs.erase(found);
         batch.records.push_back({ id, {} });
     }
--- a/src/scheduler/process/cell_host.cpp
+++ b/src/scheduler/process/cell_host.cpp
@@ -220,7 +220,8 @@
                                 .add("cell", number)
                                 .add("token", static_cast<int64_t>(token))
                                 .add("why", why)
-                                .add("proof_age_ms", bootNow() - election.renewedAt()));
+                                .add("proof_age_ms", bootNow() - election.renewedAt())
+                                .add("undeleted", static_cast<int64_t>(tombstones.size())));
     context.counts["cells_lost"]++;
     leaderTerm++;
     ledCell.reset();
--- a/src/scheduler/process/cell_host_work.cpp
+++ b/src/scheduler/process/cell_host_work.cpp
@@ -277,7 +277,18 @@
             return true;
         });
         // If the append is lost, records of finished jobs remain; the progress topic marks them as finished.
-        context.store.append(request, appendTimeoutMs, [](const platform::append_answer&) {});
+        auto records = static_cast<int64_t>(request.records.size());
+        context.store.append(
+            request, appendTimeoutMs, [this, records](const platform::append_answer& answer) {
+                if (answer.outcome == platform::store_outcome::done) {
+                    context.counts["jobs_deleted"] += records;
+                    return;
+                }
+                context.counts["job_deletion_" + std::string(toString(answer.outcome))]++;
+                context.log.write(log_line("job_deletion_failed")
+                                      .add("outcome", toString(answer.outcome))
+                                      .add("records", records));
+            });
     }
     scheduleInTerm(
         term, tombstones.empty() ? tombstonePeriodMs : retryMs, [this, term] { appendTombstones(term); });
