Failing test: a finished job is forgotten while its record remains

The three cases of retention_test fail on this code: the progress record of a finished job is deleted after the retention although nobody confirmed that the job's record is gone from the log of jobs; a record that is read after the end is never deleted; a new leader never deletes the records of jobs that finished under an earlier one.

--- /dev/null
+++ b/tests/jobs/retention_test.cpp
@@ -0,0 +1,68 @@
+// What a cell keeps of finished jobs, and for how long.
+#define BOOST_TEST_MODULE retention
+#include "tests/jobs/cell_driver.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace camphorwell;
+using camphorwell::testing::cell_driver;
+using camphorwell::testing::singleStepJob;
+using camphorwell::testing::workerRecord;
+
+namespace {
+
+constexpr ms pastRetentionMs = 200'000; // More than cell_settings::finishedRetentionMs.
+
+// Runs the job's only task to its end.
+void finishJob(cell_driver& driver, const job_id& id)
+{
+    driver.scheduler.addJob(id, singleStepJob(1));
+    driver.scheduler.setWorker(workerRecord("w"), driver.now);
+    driver.scheduler.begin(driver.now, driver.now);
+    driver.runOnce();
+    driver.report("w", {});
+    driver.runOnce();
+    auto starts = driver.take<start_action>();
+    BOOST_REQUIRE(starts.size() == 1);
+    driver.scheduler.onStarted(starts[0], order_outcome::done, driver.now);
+    worker_report report;
+    report.completions.push_back({ 1, starts[0].task, 1, completion_kind::done, "" });
+    driver.report("w", report);
+    driver.runOnce();
+    BOOST_REQUIRE((driver.scheduler.stateOf(id) == job_state::completed));
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(progress_is_kept_while_a_record_of_the_finished_job_remains)
+{
+    cell_driver driver;
+    finishJob(driver, "j");
+    BOOST_TEST(driver.take<forget_job_action>().size() == 1);
+    driver.now += pastRetentionMs;
+    driver.runOnce();
+    driver.runOnce();
+    BOOST_TEST(driver.progress.at("j") != "");
+}
+
+BOOST_AUTO_TEST_CASE(record_of_a_finished_job_is_deleted_when_it_is_read_again)
+{
+    cell_driver driver;
+    finishJob(driver, "j");
+    BOOST_TEST(driver.take<forget_job_action>().size() == 1);
+    driver.scheduler.addJob("j", singleStepJob(1));
+    driver.runOnce();
+    BOOST_TEST(driver.take<forget_job_action>().size() == 1);
+}
+
+BOOST_AUTO_TEST_CASE(new_leader_deletes_the_record_of_a_job_that_finished_before)
+{
+    cell_driver first;
+    finishJob(first, "j");
+    cell_driver second;
+    second.scheduler.restoreProgress("j", first.progress.at("j"));
+    second.scheduler.addJob("j", singleStepJob(1));
+    second.scheduler.begin(second.now, second.now);
+    second.runOnce();
+    BOOST_TEST(second.take<forget_job_action>().size() == 1);
+}
