Keep what is known of a finished job until its records are deleted

Cause: the progress record of a finished job, which alone tells a new leader that the job is over, was deleted after the retention by the clock alone. Its records in the log of jobs may be there still: a tombstone whose append failed or was not answered was never repeated; a leader that was replaced took its list of tombstones with it, and the next one never asked for the deletion of jobs that had finished before its time; a submission that the caller repeated after the end was appended behind the tombstone and never deleted. The next leader, or the same one after its read position had expired, read such a record, found no progress and ran the job.

Change: a request for deletion counts the records read, and is made again when one more is read or a new leader finds one. job_tombstones repeats tombstones until they are durable in every partition. The retention begins when none is left, and is measured by what has been read of the log, so that everything appended meanwhile is still recognised.

Why this works: a progress record goes only after every record of the job that was appended before the end of the retention has been read and deleted, whoever leads and however often. A repetition that is appended later than keepSeconds after the deletion is a new job, as before.

--- a/src/jobs/jobs.h
+++ b/src/jobs/jobs.h
@@ -212,9 +212,11 @@
     task_ref step; // `index` is unused.
     std::vector<worker_id> workers;
 };
-// Allows the accepted job's log record to be dropped.
+// Requests the deletion of the finished job's log records that have been read so far. Sent again when another
+// record of the job is read.
 struct forget_job_action {
     job_id job;
+    uint32_t recordsRead = 0; // Number of records of the job that this leader has read.
 };
 using action
     = std::variant<start_action, stop_action, pace_action, poll_action, advice_action, forget_job_action>;
--- a/src/jobs/process/cell.cpp
+++ b/src/jobs/process/cell.cpp
@@ -46,6 +46,18 @@
 
 void cell::addJob(const job_id& id, const job_record& record) { m_model->addJob(id, record); }
 void cell::cancel(const job_id& id) { m_model->cancel(id); }
+void cell::setJobLogReadUpTo(ms readUpTo) { m_model->jobLogReadUpTo = readUpTo; }
+
+void cell::onJobRecordsDeleted(const forget_job_action& deleted, ms now)
+{
+    m_model->now = now;
+    auto found = m_model->jobs.find(deleted.job);
+    if (found == m_model->jobs.end())
+        return;
+    job_run& job = *found->second;
+    job.recordsDeleted = deleted.recordsRead;
+    m_model->retain(job);
+}
 
 void cell::setQueues(std::shared_ptr<const queue_table> queues)
 {
@@ -90,10 +102,7 @@
     m.updateSharing();
     if (m.placingNeeded || !m.readySteps.empty())
         m.placeWaiting();
-    while (!m.finishedJobs.empty() && m.finishedJobs.front().first + m.settings.finishedRetentionMs < now) {
-        m.jobsToDrop.push_back(m.finishedJobs.front().second);
-        m.finishedJobs.pop_front();
-    }
+    m.dropOldJobs();
 }
 
 void cell::placePending(ms now)
@@ -162,6 +171,39 @@
     dirty.push_back(&job);
 }
 
+void cell_model::requestDeletion(job_run& job)
+{
+    if (job.recordsRead != job.recordsDeleted)
+        actions.push_back(forget_job_action { job.id, job.recordsRead });
+}
+
+// Starts the retention of a durably finished job once no record of it remains in the job log. A new leader
+// would run a job of which it finds a record but no progress.
+void cell_model::retain(job_run& job)
+{
+    if (!job.isDurablyOver() || job.recordsRead != job.recordsDeleted)
+        return;
+    job.retainedSince = now;
+    finishedJobs.emplace_back(now, job.id);
+}
+
+// The retention is measured by what has been read of the job log, so that a repeated submission that was
+// appended during the retention is still recognised.
+bool cell_model::retentionIsOver(const job_run& job) const
+{
+    return job.recordsRead == job.recordsDeleted
+        && job.retainedSince + settings.finishedRetentionMs < jobLogReadUpTo;
+}
+
+void cell_model::dropOldJobs()
+{
+    while (
+        !finishedJobs.empty() && finishedJobs.front().first + settings.finishedRetentionMs < jobLogReadUpTo) {
+        jobsToDrop.push_back(finishedJobs.front().second);
+        finishedJobs.pop_front();
+    }
+}
+
 step_run* cell_model::findStep(const task_ref& task)
 {
     auto found = jobs.find(task.job);
@@ -185,8 +227,11 @@
         slot->id = id;
     }
     job_run& job = *slot;
+    job.recordsRead++;
     if (job.isOver())
         log(log_line("record_of_ended_job").add("id", id).add("state", toString(job.state)));
+    if (job.isDurablyOver())
+        requestDeletion(job);
     if (job.hasRecord || job.isOver())
         return;
     job.hasRecord = true;
@@ -394,7 +439,6 @@
     job.state = state;
     job.finishedAt = now;
     periodicJobs.erase(&job);
-    finishedJobs.emplace_back(now, job.id);
     log(log_line("job_over")
             .add("id", job.id)
             .add("state", toString(state))
--- a/src/jobs/process/cell.h
+++ b/src/jobs/process/cell.h
@@ -47,7 +47,7 @@
     // `pollWaitMs` for workers on which best-effort tasks run beside service tasks, whose paces depend on
     // recent reports.
     ms sharedPollWaitMs = 400;
-    // How long a finished job is kept.
+    // How long a finished job is kept after its end and after the deletion of its log records.
     ms finishedRetentionMs = 120'000;
     // The time after which a change of pace is in effect.
     ms paceDelayMs = 100;
@@ -85,6 +85,10 @@
     // added.
     void addJob(const job_id&, const job_record&);
     void cancel(const job_id&);
+    // The deletion that the action requested is durable.
+    void onJobRecordsDeleted(const forget_job_action&, ms now);
+    // Every entry that was appended to the job log before this time has been passed to this cell.
+    void setJobLogReadUpTo(ms readUpTo);
 
     void setQueues(std::shared_ptr<const queue_table>);
     // The new settings apply to later decisions only.
--- a/src/jobs/process/cell_model.h
+++ b/src/jobs/process/cell_model.h
@@ -122,6 +122,10 @@
     bool dirty = false; // The job has changed since its progress was last encoded.
     ms acceptedAt = 0;
     ms finishedAt = 0;
+    uint32_t recordsRead = 0; // Log records of the job that were read, repeated ones included.
+    uint32_t recordsDeleted = 0; // Value of `recordsRead` at the last confirmed deletion.
+    // When the job was durably finished and its records deleted, whichever was later.
+    ms retainedSince = 0;
     uint64_t sequence = 0;
     int64_t nextOccurrence = 0;
     std::map<int64_t, std::unique_ptr<occurrence_run>> liveOccurrences;
@@ -130,6 +134,7 @@
     bool hasProgress = false; // An earlier leader has recorded progress of the job.
 
     bool isOver() const { return state >= job_state::completed; }
+    bool isDurablyOver() const { return durableState >= job_state::completed; }
 };
 
 // One attempt, identified by its task and number.
@@ -297,7 +302,9 @@
     std::set<std::pair<dispatch_key, step_run*>> readySteps;
     std::vector<job_run*> dirty;
     std::set<job_run*> periodicJobs; // Jobs with occurrences still to be opened.
-    std::deque<std::pair<ms, job_id>> finishedJobs; // Ids with the time of the end, oldest first.
+    // Durably finished jobs without log records, with job_run::retainedSince, oldest first.
+    std::deque<std::pair<ms, job_id>> finishedJobs;
+    ms jobLogReadUpTo = 0;
     std::map<std::string, service_pool> servicePools; // The pools by service name.
     ms lastPlacedAt = 0;
     ms sortedAt = 0; // When the dispatch keys were last recomputed.
@@ -344,6 +351,10 @@
     void finishStep(step_run&);
     void finishJob(job_run&, job_state);
     void markDirty(job_run&);
+    void retain(job_run&);
+    void requestDeletion(job_run&);
+    bool retentionIsOver(const job_run&) const;
+    void dropOldJobs();
     step_run* findStep(const task_ref&);
 
     // cell_progress.cpp
--- a/src/jobs/process/cell_progress.cpp
+++ b/src/jobs/process/cell_progress.cpp
@@ -86,7 +86,7 @@
     if (state >= job_state::completed) {
         slot->state = slot->durableState = state;
         slot->finishedAt = m_model->now;
-        m_model->finishedJobs.emplace_back(m_model->now, id);
+        m_model->retain(*slot);
         return;
     }
     slot->unappliedProgress = bytes;
@@ -169,6 +169,8 @@
         if (found == jobs.end())
             continue;
         job_run* job = found->second.get();
+        if (!retentionIsOver(*job))
+            continue; // Another record of it was read, which is to be deleted first.
         if (!job->liveOccurrences.empty()
             || std::find(writingJobs.begin(), writingJobs.end(), job) != writingJobs.end()) {
             postponed.push_back(id);
@@ -222,7 +224,8 @@
         // A job that changed after it was encoded is dirty again and part of the next append.
         if (job->isOver() && !job->dirty && job->durableState != job->state) {
             job->durableState = job->state;
-            actions.push_back(forget_job_action { job->id });
+            requestDeletion(*job);
+            retain(*job);
             retiringJobs.push_back(job);
         }
     }
--- a/src/scheduler/process/cell_host.cpp
+++ b/src/scheduler/process/cell_host.cpp
@@ -161,6 +161,7 @@
     if (!ledCell || !recovered)
         return;
     ledCell->setMayGrantLeases(election.mayGrant(now));
+    ledCell->setJobLogReadUpTo(jobLogReadUpTo());
     ledCell->tick(now, unixNow());
     flushCell();
     if (now - statisticsLoggedAt >= statisticsPeriodMs)
@@ -221,13 +222,13 @@
                                 .add("token", static_cast<int64_t>(token))
                                 .add("why", why)
                                 .add("proof_age_ms", bootNow() - election.renewedAt())
-                                .add("undeleted", static_cast<int64_t>(tombstones.size())));
+                                .add("undeleted", static_cast<int64_t>(tombstones.pending())));
     context.counts["cells_lost"]++;
     leaderTerm++;
     ledCell.reset();
     recovered = false;
     cursors.clear();
-    tombstones.clear();
+    tombstones = {};
     workerAddresses.clear();
     recoveredJobs.clear();
     if (election.isLeader())
--- a/src/scheduler/process/cell_host_recovery.cpp
+++ b/src/scheduler/process/cell_host_recovery.cpp
@@ -22,9 +22,10 @@
         decision_log([this](const log_line& line) { context.log.write(line); },
             [this] { return context.log.admitLine(); }));
     ledCell->setClock(recoveryStartedAt, unixNow());
+    tombstones = {};
     cursors.clear();
     for (int i = 0; i < context.settings.store.partitions; i++)
-        cursors.push_back({ i, 0, 0, {} });
+        cursors.push_back({ i, 0, 0 });
     recoveryStepsLeft = 2 + static_cast<int>(cursors.size());
     context.counts["cells_taken"]++;
     context.log.writeAlways(
@@ -154,7 +155,7 @@
     for (const auto& cursor : cursors)
         followJobs(term, cursor.partition);
     followWorkers(term);
-    appendTombstones(term);
+    appendTombstones(term, 0);
     tick();
 }
 
--- a/src/scheduler/process/cell_host_state.h
+++ b/src/scheduler/process/cell_host_state.h
@@ -1,6 +1,7 @@
 // The state of a cell_host, used only by its source files.
 #pragma once
 
+#include "scheduler/process/job_tombstones.h"
 #include "scheduler/scheduler.h"
 
 namespace camphorwell {
@@ -10,7 +11,6 @@
     int partition = 0;
     uint64_t nextOffset = 0;
     ms readUpTo = 0; // Every record appended before this time has been read.
-    std::map<job_id, bool> retained; // Jobs with a record and no tombstone yet.
 };
 
 struct cell_host::state {
@@ -35,7 +35,7 @@
     uint64_t progressSequence = 0; // Last sequence number used by the progress producer.
     bool flushScheduled = false;
     std::vector<job_cursor> cursors;
-    std::vector<std::pair<int, job_id>> tombstones; // Partition and id of jobs to delete.
+    job_tombstones tombstones;
     uint64_t nextWorkerOffset = 0;
     std::map<worker_id, std::string> workerAddresses;
     int recoveryStepsLeft = 0;
@@ -74,7 +74,9 @@
     void followWorkers(uint64_t term);
     void applyJobRecord(int partition, const platform::keyed_item&);
     void applyWorkerRecord(const platform::keyed_item&);
-    void appendTombstones(uint64_t term);
+    void appendTombstones(uint64_t term, int partition);
+    void onTombstonesAppended(const job_tombstones::batch&, const platform::append_answer&);
+    ms jobLogReadUpTo() const;
 
     // Calls the function after a pause, unless the term has ended by then.
     void scheduleInTerm(uint64_t term, ms pause, std::function<void()>);
--- a/src/scheduler/process/cell_host_work.cpp
+++ b/src/scheduler/process/cell_host_work.cpp
@@ -156,13 +156,7 @@
                     self.scheduleFlush();
                 });
         }
-        void operator()(const forget_job_action& forgotten) const
-        {
-            for (auto& cursor : self.cursors) {
-                if (cursor.retained.erase(forgotten.job) > 0)
-                    self.tombstones.emplace_back(cursor.partition, forgotten.job);
-            }
-        }
+        void operator()(const forget_job_action& request) const { self.tombstones.request(request); }
     };
     std::visit(performer { *this, term, addressOf }, requested);
 }
@@ -225,7 +219,7 @@
         context.log.writeAlways(log_line("job_unreadable").add("id", item.key));
         return;
     }
-    cursors[static_cast<size_t>(partition)].retained[item.key] = true;
+    tombstones.onRecord(partition, item.key);
     ledCell->addJob(item.key, *record);
 }
 
@@ -265,33 +259,52 @@
     ledCell->setWorker(*record, bootNow());
 }
 
-void cell_host::state::appendTombstones(uint64_t term)
+// Deletes the records of finished jobs: in each period, one batch from each partition that has any.
+void cell_host::state::appendTombstones(uint64_t term, int partition)
 {
-    if (!tombstones.empty()) {
-        int partition = tombstones.front().first;
-        platform::append_request request { jobsTopic, partition, {}, {}, {} };
-        std::erase_if(tombstones, [&](const auto& tombstone) {
-            if (tombstone.first != partition || request.records.size() >= maxTombstonesPerAppend)
-                return false;
-            request.records.push_back(platform::encodeKeyedRecord(tombstone.second, ""));
-            return true;
+    job_tombstones::batch batch;
+    while (batch.jobs.empty() && partition < context.settings.store.partitions)
+        batch = tombstones.takeBatch(partition++, maxTombstonesPerAppend);
+    if (batch.jobs.empty()) {
+        scheduleInTerm(term, tombstonePeriodMs, [this, term] { appendTombstones(term, 0); });
+        return;
+    }
+    platform::append_request request { jobsTopic, batch.partition, {}, {}, {} };
+    for (const job_id& id : batch.jobs)
+        request.records.push_back(platform::encodeKeyedRecord(id, ""));
+    context.store.append(request, appendTimeoutMs,
+        [this, term, partition, batch = std::move(batch)](const platform::append_answer& answer) {
+            if (!leadsInTerm(term))
+                return;
+            onTombstonesAppended(batch, answer);
+            appendTombstones(term, partition);
         });
-        // If the append is lost, records of finished jobs remain; the progress topic marks them as finished.
-        auto records = static_cast<int64_t>(request.records.size());
-        context.store.append(
-            request, appendTimeoutMs, [this, records](const platform::append_answer& answer) {
-                if (answer.outcome == platform::store_outcome::done) {
-                    context.counts["jobs_deleted"] += records;
-                    return;
-                }
-                context.counts["job_deletion_" + std::string(toString(answer.outcome))]++;
-                context.log.write(log_line("job_deletion_failed")
-                                      .add("outcome", toString(answer.outcome))
-                                      .add("records", records));
-            });
+}
+
+void cell_host::state::onTombstonesAppended(
+    const job_tombstones::batch& batch, const platform::append_answer& answer)
+{
+    bool durable = answer.outcome == platform::store_outcome::done;
+    auto records = static_cast<int64_t>(batch.jobs.size());
+    if (durable) {
+        context.counts["jobs_deleted"] += records;
+    } else {
+        context.counts["job_deletion_" + std::string(toString(answer.outcome))]++;
+        context.log.write(
+            log_line("job_deletion_failed").add("outcome", toString(answer.outcome)).add("records", records));
     }
-    scheduleInTerm(
-        term, tombstones.empty() ? tombstonePeriodMs : retryMs, [this, term] { appendTombstones(term); });
+    tombstones.onAppended(batch, durable);
+    for (const forget_job_action& deleted : tombstones.takeDeleted())
+        ledCell->onJobRecordsDeleted(deleted, bootNow());
+}
+
+// The time up to which every partition of the job log has been read.
+ms cell_host::state::jobLogReadUpTo() const
+{
+    ms out = bootNow();
+    for (const job_cursor& cursor : cursors)
+        out = std::min(out, cursor.readUpTo);
+    return out;
 }
 
 } // namespace camphorwell
--- a/tests/jobs/retention_test.cpp
+++ b/tests/jobs/retention_test.cpp
@@ -66,3 +66,47 @@
     second.runOnce();
     BOOST_TEST(second.take<forget_job_action>().size() == 1);
 }
+
+BOOST_AUTO_TEST_CASE(finished_job_is_dropped_after_its_records_are_deleted)
+{
+    cell_driver driver;
+    finishJob(driver, "j");
+    auto requests = driver.take<forget_job_action>();
+    BOOST_REQUIRE(requests.size() == 1);
+    driver.scheduler.onJobRecordsDeleted(requests[0], driver.now);
+    driver.now += pastRetentionMs;
+    driver.scheduler.setJobLogReadUpTo(driver.now);
+    driver.runOnce();
+    BOOST_TEST(driver.progress.at("j") == "");
+    BOOST_TEST(!driver.scheduler.stateOf("j"));
+}
+
+// A record that was read after the request for deletion may follow the tombstone in the log.
+BOOST_AUTO_TEST_CASE(deletion_of_earlier_records_does_not_count_for_a_later_one)
+{
+    cell_driver driver;
+    finishJob(driver, "j");
+    auto first = driver.take<forget_job_action>();
+    BOOST_REQUIRE(first.size() == 1);
+    driver.scheduler.addJob("j", singleStepJob(1));
+    driver.scheduler.onJobRecordsDeleted(first[0], driver.now);
+    driver.now += pastRetentionMs;
+    driver.scheduler.setJobLogReadUpTo(driver.now);
+    driver.runOnce();
+    driver.runOnce();
+    BOOST_TEST(driver.progress.at("j") != "");
+}
+
+BOOST_AUTO_TEST_CASE(retention_is_measured_by_what_was_read_of_the_job_log)
+{
+    cell_driver driver;
+    finishJob(driver, "j");
+    auto requests = driver.take<forget_job_action>();
+    BOOST_REQUIRE(requests.size() == 1);
+    driver.scheduler.onJobRecordsDeleted(requests[0], driver.now);
+    driver.scheduler.setJobLogReadUpTo(driver.now);
+    driver.now += pastRetentionMs;
+    driver.runOnce();
+    driver.runOnce();
+    BOOST_TEST((driver.scheduler.stateOf("j") == job_state::completed));
+}
