Delete the records of cancels

What callers would see: each change of leader takes longer with every cancel there has ever been, and a completed job whose caller sent a late DELETE is shown as cancelled after the retention and a change of leader. By the code (not run), from about 87,000 cancels on the first progress append of a new leader exceeds the store's 2 MB for a call, is rejected and repeated for ever, so that nothing is started any more.

Cause: a cancel is a record of its own (key 'x' and the id) and was never deleted. Every new leader, and every leader whose read position has expired, reads all of them, holds each job as cancelled, appends a progress record for each, and deletes these after the retention; the next one begins again.

The counter jobs_deleted becomes job_records_deleted.

Why this works: a cancel is deleted only when its job is durably over, and the progress record that says so is kept for the retention after the last deletion. What arrives meanwhile is recognised and deleted as before.

--- a/src/jobs/jobs.h
+++ b/src/jobs/jobs.h
@@ -212,8 +212,8 @@
     task_ref step; // `index` is unused.
     std::vector<worker_id> workers;
 };
-// Requests the deletion of the finished job's log records that have been read so far. Sent again when another
-// record of the job is read.
+// Requests the deletion of the finished job's log records, submissions and cancels, that have been read so
+// far. Sent again when another record of the job is read.
 struct forget_job_action {
     job_id job;
     uint32_t recordsRead = 0; // Number of records of the job that this leader has read.
--- a/src/jobs/process/cell.cpp
+++ b/src/jobs/process/cell.cpp
@@ -171,6 +171,14 @@
     dirty.push_back(&job);
 }
 
+// Counts a record of the job in the job log. One that is read after the job's end is deleted as well.
+void cell_model::countRecord(job_run& job)
+{
+    job.recordsRead++;
+    if (job.isDurablyOver())
+        requestDeletion(job);
+}
+
 void cell_model::requestDeletion(job_run& job)
 {
     if (job.recordsRead != job.recordsDeleted)
@@ -227,11 +235,9 @@
         slot->id = id;
     }
     job_run& job = *slot;
-    job.recordsRead++;
+    countRecord(job);
     if (job.isOver())
         log(log_line("record_of_ended_job").add("id", id).add("state", toString(job.state)));
-    if (job.isDurablyOver())
-        requestDeletion(job);
     if (job.hasRecord || job.isOver())
         return;
     job.hasRecord = true;
@@ -270,6 +276,7 @@
         slot = std::make_unique<job_run>();
         slot->id = id;
     }
+    countRecord(*slot);
     if (slot->isOver() || hasFault(cell_fault::ignore_cancels))
         return;
     log(log_line("job_cancelled").add("id", id));
--- a/src/jobs/process/cell_model.h
+++ b/src/jobs/process/cell_model.h
@@ -122,7 +122,8 @@
     bool dirty = false; // The job has changed since its progress was last encoded.
     ms acceptedAt = 0;
     ms finishedAt = 0;
-    uint32_t recordsRead = 0; // Log records of the job that were read, repeated ones included.
+    uint32_t recordsRead
+        = 0; // Log records of the job that were read: submissions and cancels, also repeated.
     uint32_t recordsDeleted = 0; // Value of `recordsRead` at the last confirmed deletion.
     // When the job was durably finished and its records deleted, whichever was later.
     ms retainedSince = 0;
@@ -352,6 +353,7 @@
     void finishJob(job_run&, job_state);
     void markDirty(job_run&);
     void retain(job_run&);
+    void countRecord(job_run&);
     void requestDeletion(job_run&);
     bool retentionIsOver(const job_run&) const;
     void dropOldJobs();
--- a/src/scheduler/process/cell_host_work.cpp
+++ b/src/scheduler/process/cell_host_work.cpp
@@ -14,6 +14,11 @@
     constexpr size_t maxTombstonesPerAppend = 500;
     constexpr ms adviceTimeoutMs = 4000;
     constexpr char cancelKeyPrefix = 'x'; // Not a hexadecimal digit, so no job id starts with it.
+
+    std::string encodeKey(const job_record_key& key)
+    {
+        return key.kind == job_record_kind::cancel ? cancelKeyPrefix + key.job : key.job;
+    }
 } // namespace
 
 void cell_host::state::flushCell()
@@ -210,7 +215,9 @@
     if (item.value.empty() || item.key.empty())
         return;
     if (item.key[0] == cancelKeyPrefix) {
-        ledCell->cancel(item.key.substr(1));
+        job_record_key key { item.key.substr(1), job_record_kind::cancel };
+        tombstones.onRecord(partition, key);
+        ledCell->cancel(key.job);
         return;
     }
     auto record = decodeJob(item.value);
@@ -219,7 +226,7 @@
         context.log.writeAlways(log_line("job_unreadable").add("id", item.key));
         return;
     }
-    tombstones.onRecord(partition, item.key);
+    tombstones.onRecord(partition, { item.key, job_record_kind::submission });
     ledCell->addJob(item.key, *record);
 }
 
@@ -263,15 +270,15 @@
 void cell_host::state::appendTombstones(uint64_t term, int partition)
 {
     job_tombstones::batch batch;
-    while (batch.jobs.empty() && partition < context.settings.store.partitions)
+    while (batch.keys.empty() && partition < context.settings.store.partitions)
         batch = tombstones.takeBatch(partition++, maxTombstonesPerAppend);
-    if (batch.jobs.empty()) {
+    if (batch.keys.empty()) {
         scheduleInTerm(term, tombstonePeriodMs, [this, term] { appendTombstones(term, 0); });
         return;
     }
     platform::append_request request { jobsTopic, batch.partition, {}, {}, {} };
-    for (const job_id& id : batch.jobs)
-        request.records.push_back(platform::encodeKeyedRecord(id, ""));
+    for (const job_record_key& key : batch.keys)
+        request.records.push_back(platform::encodeKeyedRecord(encodeKey(key), ""));
     context.store.append(request, appendTimeoutMs,
         [this, term, partition, batch = std::move(batch)](const platform::append_answer& answer) {
             if (!leadsInTerm(term))
@@ -285,9 +292,9 @@
     const job_tombstones::batch& batch, const platform::append_answer& answer)
 {
     bool durable = answer.outcome == platform::store_outcome::done;
-    auto records = static_cast<int64_t>(batch.jobs.size());
+    auto records = static_cast<int64_t>(batch.keys.size());
     if (durable) {
-        context.counts["jobs_deleted"] += records;
+        context.counts["job_records_deleted"] += records;
     } else {
         context.counts["job_deletion_" + std::string(toString(answer.outcome))]++;
         context.log.write(
--- a/tests/jobs/retention_test.cpp
+++ b/tests/jobs/retention_test.cpp
@@ -110,3 +110,51 @@
     driver.runOnce();
     BOOST_TEST((driver.scheduler.stateOf("j") == job_state::completed));
 }
+
+BOOST_AUTO_TEST_CASE(cancel_is_deleted_with_the_records_of_its_job)
+{
+    cell_driver driver;
+    driver.scheduler.addJob("j", singleStepJob(1));
+    driver.scheduler.begin(driver.now, driver.now);
+    driver.scheduler.cancel("j");
+    driver.runOnce();
+    auto requests = driver.take<forget_job_action>();
+    BOOST_REQUIRE(requests.size() == 1);
+    BOOST_TEST(requests[0].recordsRead == 2);
+}
+
+BOOST_AUTO_TEST_CASE(cancel_of_a_finished_job_is_deleted)
+{
+    cell_driver driver;
+    finishJob(driver, "j");
+    auto first = driver.take<forget_job_action>();
+    BOOST_REQUIRE(first.size() == 1);
+    driver.scheduler.onJobRecordsDeleted(first[0], driver.now);
+    driver.scheduler.cancel("j");
+    driver.runOnce();
+    BOOST_TEST(driver.take<forget_job_action>().size() == 1);
+    BOOST_TEST((driver.scheduler.stateOf("j") == job_state::completed));
+}
+
+BOOST_AUTO_TEST_CASE(cancel_of_an_unknown_job_is_deleted)
+{
+    cell_driver driver;
+    driver.scheduler.begin(driver.now, driver.now);
+    driver.scheduler.cancel("j");
+    driver.runOnce();
+    BOOST_TEST(driver.take<forget_job_action>().size() == 1);
+}
+
+BOOST_AUTO_TEST_CASE(new_leader_deletes_the_cancel_of_a_job_that_ended_before)
+{
+    cell_driver first;
+    first.scheduler.begin(first.now, first.now);
+    first.scheduler.cancel("j");
+    first.runOnce();
+    cell_driver second;
+    second.scheduler.restoreProgress("j", first.progress.at("j"));
+    second.scheduler.cancel("j");
+    second.scheduler.begin(second.now, second.now);
+    second.runOnce();
+    BOOST_TEST(second.take<forget_job_action>().size() == 1);
+}
