Delete the unreadable records of finished jobs

What callers would see: after a rolling update that raises the format of job records, tasks that had ended done run again. A caller that repeats a submission reaches an instance of each release, so the job has a record of either format. A leader of the earlier release runs it from the one that it can read, deletes only that one, and forgets the job after the retention; a leader of the later release reads the other one and runs the job again.

Cause: a record that cannot be read was neither counted for its job nor tracked by job_tombstones.

Evidence: unreadable_record_of_a_finished_job_is_deleted fails when the notice has no effect.

Change: the record's key counts as a record of the job although its value cannot be read. If the job is over the record is deleted with the others; the record of a job that this version does not know stays for a later version.

--- a/src/jobs/process/cell.cpp
+++ b/src/jobs/process/cell.cpp
@@ -46,6 +46,14 @@
 
 void cell::addJob(const job_id& id, const job_record& record) { m_model->addJob(id, record); }
 void cell::cancel(const job_id& id) { m_model->cancel(id); }
+
+void cell::addUnreadableRecord(const job_id& id)
+{
+    auto found = m_model->jobs.find(id);
+    if (found != m_model->jobs.end())
+        m_model->countRecord(*found->second);
+}
+
 void cell::setJobLogReadUpTo(ms readUpTo) { m_model->jobLogReadUpTo = readUpTo; }
 
 void cell::onJobRecordsDeleted(const forget_job_action& deleted, ms now)
--- a/src/jobs/process/cell.h
+++ b/src/jobs/process/cell.h
@@ -85,6 +85,9 @@
     // added.
     void addJob(const job_id&, const job_record&);
     void cancel(const job_id&);
+    // An entry of the job log that this version cannot read. It is left to later versions unless its job is
+    // over.
+    void addUnreadableRecord(const job_id&);
     // The deletion that the action requested is durable.
     void onJobRecordsDeleted(const forget_job_action&, ms now);
     // Every entry that was appended to the job log before this time has been passed to this cell.
--- a/src/scheduler/process/cell_host_work.cpp
+++ b/src/scheduler/process/cell_host_work.cpp
@@ -220,13 +220,14 @@
         ledCell->cancel(key.job);
         return;
     }
+    tombstones.onRecord(partition, { item.key, job_record_kind::submission });
     auto record = decodeJob(item.value);
     if (!record) {
         context.counts["job_unreadable"]++;
         context.log.writeAlways(log_line("job_unreadable").add("id", item.key));
+        ledCell->addUnreadableRecord(item.key);
         return;
     }
-    tombstones.onRecord(partition, { item.key, job_record_kind::submission });
     ledCell->addJob(item.key, *record);
 }
 
--- a/tests/jobs/retention_test.cpp
+++ b/tests/jobs/retention_test.cpp
@@ -158,3 +158,25 @@
     second.runOnce();
     BOOST_TEST(second.take<forget_job_action>().size() == 1);
 }
+
+BOOST_AUTO_TEST_CASE(unreadable_record_of_a_finished_job_is_deleted)
+{
+    cell_driver driver;
+    finishJob(driver, "j");
+    auto first = driver.take<forget_job_action>();
+    BOOST_REQUIRE(first.size() == 1);
+    driver.scheduler.onJobRecordsDeleted(first[0], driver.now);
+    driver.scheduler.addUnreadableRecord("j");
+    driver.runOnce();
+    BOOST_TEST(driver.take<forget_job_action>().size() == 1);
+}
+
+BOOST_AUTO_TEST_CASE(unreadable_record_of_an_unknown_job_is_left_alone)
+{
+    cell_driver driver;
+    driver.scheduler.begin(driver.now, driver.now);
+    driver.scheduler.addUnreadableRecord("j");
+    driver.runOnce();
+    BOOST_TEST(driver.take<forget_job_action>().empty());
+    BOOST_TEST(!driver.scheduler.stateOf("j"));
+}
