--- a/src/jobs/process/cell.cpp
+++ b/src/jobs/process/cell.cpp
@@ -46,6 +46,14 @@
 
 void cell::addJob(const job_id& id, const job_record& record) { m_model->addJob(id, record); }
 void cell::cancel(const job_id& id) { m_model->cancel(id); }
+
+void cell::addUnreadableRecord(const job_id& id)
+{
+    auto found = m_model->jobs.find(id);
+    if (found != m_model->jobs.end())
+        m_model->countRecord(*found->second);
+}
+
 void cell::setJobLogReadUpTo(ms readUpTo) { m_model->jobLogReadUpTo = readUpTo; }
 
 void cell::onJobRecordsDeleted(const forget_job_action& deleted, ms now)
@@ -171,6 +179,14 @@
     dirty.push_back(&job);
 }
 
+// Counts a record of the job in the job log. One that is read after the job's end is deleted as well.
+void cell_model::countRecord(job_run& job)
+{
+    job.recordsRead++;
+    if (job.isDurablyOver())
+        requestDeletion(job);
+}
+
 void cell_model::requestDeletion(job_run& job)
 {
     if (job.recordsRead != job.recordsDeleted)
@@ -227,11 +243,9 @@
         slot->id = id;
     }
     job_run& job = *slot;
-    job.recordsRead++;
+    countRecord(job);
     if (job.isOver())
         log(log_line("record_of_ended_job").add("id", id).add("state", toString(job.state)));
-    if (job.isDurablyOver())
-        requestDeletion(job);
     if (job.hasRecord || job.isOver())
         return;
     job.hasRecord = true;
@@ -270,6 +284,7 @@
         slot = std::make_unique<job_run>();
         slot->id = id;
     }
+    countRecord(*slot);
     if (slot->isOver() || hasFault(cell_fault::ignore_cancels))
         return;
     log(log_line("job_cancelled").add("id", id));
