Do not run a job as new when its progress cannot be read

What callers would see: a job with tasks that have run starts again from its first attempt, and jobs that were shown as completed run a second time.

Cause: a progress record that was no array, or whose state was no number, was logged and forgotten, and the job then counted as new. The format number and the range of the state were not checked at all, so a record of a newer format was read as if it were this one. When a record could be read in part, the attempts read so far stayed reserved, the first report without them overwrote the record, and a repeated submission had the job's records deleted.

Evidence: without the change `job_with_unreadable_progress_is_not_run_as_new` fails (a start for damaged bytes; "running" instead of "failed" for all three records), and `unreadable_progress_is_kept_for_a_leader_that_can_read_it` fails (the record is overwritten, the deletion of the job's records is requested).

Every unreadable record now ends the same way: the job counts as failed, nothing of it runs, and neither its progress nor its records in the job log are touched, so that a leader that reads the format can continue.

--- a/src/jobs/process/cell.cpp
+++ b/src/jobs/process/cell.cpp
@@ -173,7 +173,7 @@
 
 void cell_model::requestDeletion(job_run& job)
 {
-    if (job.recordsRead != job.recordsDeleted)
+    if (job.recordsRead != job.recordsDeleted && !job.progressUnreadable)
         actions.push_back(forget_job_action { job.id, job.recordsRead });
 }
 
--- a/src/jobs/process/cell_model.h
+++ b/src/jobs/process/cell_model.h
@@ -132,6 +132,7 @@
     std::shared_ptr<const std::string> payload;
     std::string unappliedProgress; // Progress restored before the record of the job itself.
     bool hasProgress = false; // An earlier leader has recorded progress of the job.
+    bool progressUnreadable = false; // The job's records must be kept as they are.
 
     bool isOver() const { return state >= job_state::completed; }
     bool isDurablyOver() const { return durableState >= job_state::completed; }
@@ -361,6 +362,7 @@
     static task_attempt* findAttempt(const task_placement&);
     std::string encodeProgress(const job_run&) const;
     void applyProgress(job_run&, std::string_view bytes);
+    void setProgressUnreadable(job_run&, std::string_view error);
     std::optional<write_batch> takeWrite();
     void onWritten();
     void sendRecordedStarts();
--- a/src/jobs/process/cell_progress.cpp
+++ b/src/jobs/process/cell_progress.cpp
@@ -48,6 +48,15 @@
         }
     }
 
+    // The state in a progress record, if the record has a format that this version reads.
+    std::optional<job_state> readState(const json& row)
+    {
+        if (!row.is_array() || row.size() < 2 || row[0] != progressFormat || !row[1].is_number_unsigned()
+            || row[1].get<uint64_t>() > static_cast<uint64_t>(job_state::cancelled))
+            return std::nullopt;
+        return static_cast<job_state>(row[1].get<int>());
+    }
+
 } // namespace
 
 // Format: [format, state, next occurrence, [[occurrence, [[step, [task, ...]]]]], started], where a task is
@@ -76,15 +85,14 @@
         slot = std::make_unique<job_run>();
         slot->id = id;
     }
-    json row = json::from_cbor(bytes, true, false);
-    if (!row.is_array() || row.size() < 2 || !row[1].is_number_integer()) {
-        m_model->log(log_line("progress_unreadable").add("job", id));
+    slot->hasProgress = true;
+    auto state = readState(json::from_cbor(bytes, true, false));
+    if (!state) {
+        m_model->setProgressUnreadable(*slot, "format or state");
         return;
     }
-    slot->hasProgress = true;
-    auto state = static_cast<job_state>(row[1].get<int>());
-    if (state >= job_state::completed) {
-        slot->state = slot->durableState = state;
+    if (*state >= job_state::completed) {
+        slot->state = slot->durableState = *state;
         slot->finishedAt = m_model->now;
         m_model->retain(*slot);
         return;
@@ -92,6 +100,26 @@
     slot->unappliedProgress = bytes;
 }
 
+// A record that cannot be read was damaged or has a newer format. The job counts as failed, since its tasks
+// might otherwise run twice, and its records are kept for a leader that can read them.
+void cell_model::setProgressUnreadable(job_run& job, std::string_view error)
+{
+    log(log_line("progress_unreadable").add("job", job.id).add("error", error));
+    job.progressUnreadable = true;
+    job.state = job.durableState = job_state::failed;
+    job.finishedAt = now;
+    for (auto& [number, occurrence] : job.liveOccurrences) {
+        for (step_run& step : occurrence->steps) {
+            for (int i = 0; i < static_cast<int>(step.tasks.size()); i++) {
+                auto& attempts = step.tasks[static_cast<size_t>(i)].attempts;
+                while (!attempts.empty())
+                    removeAttempt(step, i, *attempts.back().worker, attempts.back().number);
+            }
+        }
+    }
+    job.liveOccurrences.clear();
+}
+
 void cell_model::applyProgress(job_run& job, std::string_view bytes)
 {
     try {
@@ -129,11 +157,7 @@
         // Records of an earlier version lack the flag. A task recorded there was started, or about to be.
         job.started |= row.size() > 4 ? row[4].get<bool>() : !row.at(3).empty();
     } catch (const std::exception& error) {
-        // The record was written by this library under a fencing token, so this is a defect or a newer
-        // format. The job counts as failed and its record stays as it is, since a task might otherwise run
-        // twice.
-        log(log_line("progress_unreadable").add("job", job.id).add("error", error.what()));
-        job.state = job.durableState = job_state::failed;
+        setProgressUnreadable(job, error.what());
     }
 }
 
--- /dev/null
+++ b/tests/jobs/restart_test.cpp
@@ -0,0 +1,65 @@
+// Tasks that have run, or may still run, are not started again.
+#define BOOST_TEST_MODULE restart
+#include "tests/jobs/cell_driver.h"
+
+#include <boost/test/unit_test.hpp>
+#include <nlohmann/json.hpp>
+
+using namespace camphorwell;
+using camphorwell::testing::cell_driver;
+using camphorwell::testing::singleStepJob;
+using camphorwell::testing::workerRecord;
+
+namespace {
+
+// Begins with the given jobs and one worker that has reported.
+void begin(cell_driver& driver, const std::map<job_id, job_record>& jobs)
+{
+    for (const auto& [id, record] : jobs)
+        driver.scheduler.addJob(id, record);
+    driver.scheduler.setWorker(workerRecord("w"), driver.now);
+    driver.scheduler.begin(driver.now, driver.now);
+    driver.runOnce();
+    driver.report("w", {});
+    driver.runOnce();
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(job_with_unreadable_progress_is_not_run_as_new)
+{
+    using nlohmann::json;
+    constexpr int laterFormat = 2;
+    std::string laterRecord;
+    json::to_cbor(json::array({ laterFormat, 1, 1, json::array(), true }), laterRecord);
+    std::string unknownState;
+    json::to_cbor(json::array({ 1, 77, 1, json::array(), true }), unknownState);
+    for (const std::string& bytes : { std::string("\xff\xff"), laterRecord, unknownState }) {
+        cell_driver driver;
+        driver.scheduler.restoreProgress("j", bytes);
+        begin(driver, { { "j", singleStepJob(1) } });
+        BOOST_TEST(driver.take<start_action>().empty());
+        BOOST_TEST((driver.scheduler.stateOf("j") == job_state::failed));
+    }
+}
+
+BOOST_AUTO_TEST_CASE(unreadable_progress_is_kept_for_a_leader_that_can_read_it)
+{
+    using nlohmann::json;
+    // The second task's index is out of range.
+    std::string bytes;
+    json task = json::array({ 0, 1, 0, 0, json::array({ 1, "w" }) });
+    json badTask = json::array({ 7, 1, 0, 0, json::array({ 1, "w" }) });
+    json step = json::array({ 0, json::array({ task, badTask }) });
+    json::to_cbor(
+        json::array({ 1, 1, 1, json::array({ json::array({ 0, json::array({ step }) }) }), true }), bytes);
+    for (const std::string& record : { std::string("\xff\xff"), bytes }) {
+        cell_driver driver;
+        driver.scheduler.restoreProgress("j", record);
+        begin(driver, { { "j", singleStepJob(1) } });
+        driver.scheduler.addJob("j", singleStepJob(1));
+        driver.runOnce();
+        BOOST_TEST(driver.take<forget_job_action>().empty());
+        BOOST_TEST(!driver.progress.contains("j"));
+    }
+}
