Record tasks that are done by an attempt this leader did not know

What callers would see: a task whose end was acknowledged runs again under the next leader.

Cause: a completion of an unknown attempt counts, but the progress record holds only tasks with an attempt number, and that number stayed 0. The end was acknowledged with the append that left it out. The same holds for the members of a gang, whose end counts for all of them. And a task of which a worker listed an unknown attempt was started under numbers that the worker had already used, so a later list could be mistaken for the new attempt.

Evidence: without the change three tests fail: `completion_of_an_unrecorded_attempt_is_kept_for_the_next_leader` (task 0 is started again), `end_of_an_unrecorded_gang_is_kept_for_the_next_leader` (both members are), and `task_follows_the_numbers_of_attempts_that_a_worker_lists` (attempt 1 instead of 5).

Records now hold every task that is done, and a task's numbers continue after the highest that a worker has listed. An unknown attempt needs progress that was lost before; no run has shown that.

--- a/src/jobs/process/cell_attempts.cpp
+++ b/src/jobs/process/cell_attempts.cpp
@@ -36,6 +36,7 @@
     task_run& task = step->tasks[static_cast<size_t>(completion.task.index)];
     task_attempt* attempt = findAttempt({ step, completion.task.index, completion.attempt });
     bool known = attempt && attempt->worker == &worker;
+    task.lastAttempt = std::max(task.lastAttempt, completion.attempt);
     log.rateLimited([&] {
         return log_line("task_end")
             .add("task", completion.task.str())
--- a/src/jobs/process/cell_progress.cpp
+++ b/src/jobs/process/cell_progress.cpp
@@ -25,14 +25,16 @@
             out.text(task.checkpoint);
     }
 
+    // A member of a gang may be done without an attempt that this leader knows of.
+    bool hasProgress(const task_run& task) { return task.lastAttempt > 0 || task.done; }
+
     void writeStep(record_writer& out, const step_run& step)
     {
-        auto startedTasks = std::count_if(
-            step.tasks.begin(), step.tasks.end(), [](const task_run& task) { return task.lastAttempt > 0; });
-        out.array(2).number(step.number).array(static_cast<size_t>(startedTasks));
+        auto tasks = std::count_if(step.tasks.begin(), step.tasks.end(), hasProgress);
+        out.array(2).number(step.number).array(static_cast<size_t>(tasks));
         for (int i = 0; i < static_cast<int>(step.tasks.size()); i++) {
             const task_run& task = step.tasks[static_cast<size_t>(i)];
-            if (task.lastAttempt > 0)
+            if (hasProgress(task))
                 writeTask(out, i, task);
         }
     }
--- a/src/jobs/process/cell_workers.cpp
+++ b/src/jobs/process/cell_workers.cpp
@@ -284,6 +284,10 @@
         // The attempt is not recorded, so its task may be started elsewhere. It is stopped, and nothing is
         // placed on this worker until it has ended.
         worker.unknownAttempts++;
+        if (step) {
+            task_run& task = step->tasks[static_cast<size_t>(listedTask.task.index)];
+            task.lastAttempt = std::max(task.lastAttempt, listedTask.attempt);
+        }
         log(log_line("unknown_run")
                 .add("task", listedTask.task.str())
                 .add("run", listedTask.attempt)
--- a/tests/jobs/restart_test.cpp
+++ b/tests/jobs/restart_test.cpp
@@ -63,3 +63,62 @@
         BOOST_TEST(!driver.progress.contains("j"));
     }
 }
+
+BOOST_AUTO_TEST_CASE(completion_of_an_unrecorded_attempt_is_kept_for_the_next_leader)
+{
+    cell_driver first;
+    first.scheduler.addJob("j", singleStepJob(2));
+    first.scheduler.setWorker(workerRecord("w"), first.now);
+    first.scheduler.begin(first.now, first.now);
+    worker_report report;
+    report.completions.push_back({ 1, { "j", 0, 0, 0 }, 1, completion_kind::done, "" });
+    first.runOnce();
+    first.report("w", report);
+    first.runOnce();
+    cell_driver second;
+    second.scheduler.restoreProgress("j", first.progress.at("j"));
+    begin(second, { { "j", singleStepJob(2) } });
+    for (const auto& start : second.take<start_action>())
+        BOOST_TEST(start.task.index == 1);
+}
+
+BOOST_AUTO_TEST_CASE(end_of_an_unrecorded_gang_is_kept_for_the_next_leader)
+{
+    job_record record = singleStepJob(2);
+    record.spec.steps.push_back(record.spec.steps[0]);
+    record.spec.steps[0].gang = true;
+    record.spec.steps[1].dependsOn = { 0 };
+    cell_driver first;
+    first.scheduler.addJob("j", record);
+    first.scheduler.setWorker(workerRecord("w"), first.now);
+    first.scheduler.begin(first.now, first.now);
+    worker_report report;
+    report.completions.push_back({ 1, { "j", 0, 0, 0 }, 1, completion_kind::done, "" });
+    first.runOnce();
+    first.report("w", report);
+    first.runOnce();
+    cell_driver second;
+    second.scheduler.restoreProgress("j", first.progress.at("j"));
+    begin(second, { { "j", record } });
+    for (const auto& start : second.take<start_action>())
+        BOOST_TEST(start.task.step == 1);
+}
+
+BOOST_AUTO_TEST_CASE(task_follows_the_numbers_of_attempts_that_a_worker_lists)
+{
+    cell_driver driver;
+    driver.scheduler.addJob("j", singleStepJob(1));
+    driver.scheduler.setWorker(workerRecord("w"), driver.now);
+    driver.scheduler.begin(driver.now, driver.now);
+    driver.runOnce();
+    worker_report report;
+    report.running.push_back({ { "j", 0, 0, 0 }, 4, "", 10, 0 });
+    driver.report("w", report);
+    driver.runOnce();
+    BOOST_TEST(driver.take<start_action>().empty());
+    driver.report("w", {});
+    driver.runOnce();
+    auto starts = driver.take<start_action>();
+    BOOST_REQUIRE(starts.size() == 1);
+    BOOST_TEST(starts[0].attempt == 5);
+}
