Never append a write without records

What callers would see: a cell whose leader does nothing, if the store does not count such an append.

Cause: the list of jobs to be dropped was not empty, but all of them were postponed or had a record that was read since. The append then had no body, which only sets the producer's epoch, but took a sequence number. Whether the next number is accepted after that is not promised; an append out of order was repeated without end. While a job stayed postponed, each confirmation led to the next such append.

Evidence: without the change `nothing_is_written_when_a_record_was_read_just_before_the_job_is_dropped` fails.

Whether there is anything to write is now decided by the records.

--- a/src/jobs/process/cell_model.h
+++ b/src/jobs/process/cell_model.h
@@ -364,6 +364,7 @@
     void applyProgress(job_run&, std::string_view bytes);
     void setProgressUnreadable(job_run&, std::string_view error);
     std::optional<write_batch> takeWrite();
+    void forgetJobs(write_batch&);
     void onWritten();
     void sendRecordedStarts();
     bool startable(const task_placement&) const;
--- a/src/jobs/process/cell_progress.cpp
+++ b/src/jobs/process/cell_progress.cpp
@@ -172,23 +172,9 @@
     return nullptr;
 }
 
-std::optional<write_batch> cell_model::takeWrite()
+// Removes the jobs whose retention is over, and adds the deletions of their progress records to the batch.
+void cell_model::forgetJobs(write_batch& batch)
 {
-    if (writeInFlight)
-        return std::nullopt;
-    releaseFinishedJobs();
-    if (dirty.empty() && jobsToDrop.empty()) {
-        for (worker_state* worker : workers.all())
-            worker->acknowledgedSequence = worker->processedSequence;
-        return std::nullopt;
-    }
-    write_batch batch;
-    for (job_run* job : dirty) {
-        job->dirty = false;
-        batch.records.push_back({ job->id, encodeProgress(*job) });
-    }
-    writingJobs.swap(dirty);
-    dirty.clear();
     std::vector<job_id> postponed;
     for (const job_id& id : jobsToDrop) {
         auto found = jobs.find(id);
@@ -213,6 +199,26 @@
         batch.records.push_back({ id, {} });
     }
     jobsToDrop.swap(postponed);
+}
+
+std::optional<write_batch> cell_model::takeWrite()
+{
+    if (writeInFlight)
+        return std::nullopt;
+    releaseFinishedJobs();
+    write_batch batch;
+    for (job_run* job : dirty) {
+        job->dirty = false;
+        batch.records.push_back({ job->id, encodeProgress(*job) });
+    }
+    writingJobs.swap(dirty);
+    dirty.clear();
+    forgetJobs(batch);
+    if (batch.records.empty()) {
+        for (worker_state* worker : workers.all())
+            worker->acknowledgedSequence = worker->processedSequence;
+        return std::nullopt;
+    }
     writingStarts.swap(plannedStarts);
     plannedStarts.clear();
     if (hasFault(cell_fault::start_without_record))
--- a/tests/jobs/retention_test.cpp
+++ b/tests/jobs/retention_test.cpp
@@ -110,3 +110,18 @@
     driver.runOnce();
     BOOST_TEST((driver.scheduler.stateOf("j") == job_state::completed));
 }
+
+// An append without records is no append to the store: it only sets the producer's epoch.
+BOOST_AUTO_TEST_CASE(nothing_is_written_when_a_record_was_read_just_before_the_job_is_dropped)
+{
+    cell_driver driver;
+    finishJob(driver, "j");
+    auto requests = driver.take<forget_job_action>();
+    BOOST_REQUIRE(requests.size() == 1);
+    driver.scheduler.onJobRecordsDeleted(requests[0], driver.now);
+    driver.now += pastRetentionMs;
+    driver.scheduler.setJobLogReadUpTo(driver.now);
+    driver.scheduler.tick(driver.now, driver.now);
+    driver.scheduler.addJob("j", singleStepJob(1));
+    BOOST_TEST(!driver.scheduler.takeWrite(driver.now).has_value());
+}
