Wait for a worker's lists after a start that it refused as superseded

What callers would see: a task that ended `done` runs again on another worker, or two attempts of it run at once.

Cause: the refusal counted as proof that the attempt had not run. A worker refuses so also the second delivery of a start whose attempt has ended since its first, whose answer was lost. The attempt was forgotten, the task placed elsewhere, and the completion then ignored, but acknowledged.

Evidence: without the change `superseded_start_waits_for_the_workers_lists` fails: the task is started on the second worker and the job is not completed.

A refusal as superseded is now treated like no answer: the attempt is stopped and counts as ended when its completion is listed, or when a report asked for after the stop does not list it (`superseded_start_that_did_not_run_is_placed_again`). The other refusals (`late`, `room`, `ticket`, 400, 429, 503) say that this call did nothing and nothing else does.

--- a/src/jobs/jobs.h
+++ b/src/jobs/jobs.h
@@ -159,11 +159,12 @@
     std::vector<task_completion> completions; // Those that have not been acknowledged.
 };
 
-// Result of a call to a worker. Except after `done` and `no_answer` the order was not carried out.
+// Result of a call to a worker. Except after `done`, `superseded` and `no_answer` the order was not carried
+// out.
 enum class order_outcome : uint8_t {
     done,
     fenced, // The worker has seen a higher fencing token.
-    superseded, // That attempt or a later one has ended or been stopped on the worker.
+    superseded, // That attempt or a later one has ended or been stopped on the worker. It may have run.
     late, // The lease sent with the order has expired.
     no_capacity, // The worker has too little free capacity.
     bad_ticket, // The worker refused the advice service's ticket.
--- a/src/jobs/process/cell_attempts.cpp
+++ b/src/jobs/process/cell_attempts.cpp
@@ -238,9 +238,12 @@
         m.fenced = true;
         return;
     }
-    if (outcome == order_outcome::no_answer && !m.hasFault(cell_fault::restart_unanswered_starts)) {
+    // The worker also refuses as superseded the second delivery of a start whose attempt has ended since.
+    bool mayHaveRun = outcome == order_outcome::no_answer || outcome == order_outcome::superseded;
+    if (mayHaveRun && !m.hasFault(cell_fault::restart_unanswered_starts)) {
         if (attempt->phase == attempt_phase::starting)
-            m.stopAttempt(*step, start.task.index, *attempt, "start_unanswered");
+            m.stopAttempt(*step, start.task.index, *attempt,
+                outcome == order_outcome::no_answer ? "start_unanswered" : "start_superseded");
         return;
     }
     // All other outcomes mean that this attempt was not started and never will be.
--- a/tests/jobs/restart_test.cpp
+++ b/tests/jobs/restart_test.cpp
@@ -24,6 +24,15 @@
     driver.runOnce();
 }
 
+// Adds a second worker that has reported.
+void addSecondWorker(cell_driver& driver)
+{
+    driver.scheduler.setWorker(workerRecord("w2"), driver.now);
+    driver.runOnce();
+    driver.report("w2", {});
+    driver.runOnce();
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_CASE(job_with_unreadable_progress_is_not_run_as_new)
@@ -122,3 +131,38 @@
     BOOST_REQUIRE(starts.size() == 1);
     BOOST_TEST(starts[0].attempt == 5);
 }
+
+BOOST_AUTO_TEST_CASE(superseded_start_waits_for_the_workers_lists)
+{
+    cell_driver driver;
+    begin(driver, { { "j", singleStepJob(1) } });
+    auto starts = driver.take<start_action>();
+    BOOST_REQUIRE(starts.size() == 1);
+    addSecondWorker(driver);
+    driver.scheduler.onStarted(starts[0], order_outcome::superseded, driver.now);
+    for (int i = 0; i < 10; i++)
+        driver.runOnce();
+    BOOST_TEST(driver.take<start_action>().empty());
+    worker_report report;
+    report.completions.push_back({ 1, starts[0].task, 1, completion_kind::done, "" });
+    driver.report("w", report);
+    driver.runOnce();
+    BOOST_TEST((driver.scheduler.stateOf("j") == job_state::completed));
+}
+
+BOOST_AUTO_TEST_CASE(superseded_start_that_did_not_run_is_placed_again)
+{
+    cell_driver driver;
+    begin(driver, { { "j", singleStepJob(1) } });
+    auto starts = driver.take<start_action>();
+    BOOST_REQUIRE(starts.size() == 1);
+    driver.scheduler.onStarted(starts[0], order_outcome::superseded, driver.now);
+    driver.runOnce();
+    auto stops = driver.take<stop_action>();
+    BOOST_REQUIRE(stops.size() == 1);
+    driver.scheduler.onStopped(stops[0], order_outcome::done, driver.now);
+    driver.now += 200;
+    driver.report("w", {});
+    driver.runOnce();
+    BOOST_TEST(driver.take<start_action>().size() == 1);
+}
