A late answer about an earlier incarnation drops nothing of the later one

What callers would see: tasks on a healthy worker are started a second time elsewhere while they run.

Cause: an answer "another incarnation" to a start or a poll dropped all attempts on the worker, also when the order had been sent to an earlier incarnation and the worker had reported again since. The sequence: a start is sent; the worker starts again under its id; it is listed and reports; another task is started on it; then the first start is answered 421 by whoever has the old address.

Evidence: without the change `late_answer_of_an_earlier_incarnation_ends_nothing_on_the_later_one` fails: the second task is started on another worker while it runs.

Such an answer now counts only for the incarnation that the order was sent to.

--- a/src/jobs/process/cell_attempts.cpp
+++ b/src/jobs/process/cell_attempts.cpp
@@ -253,7 +253,7 @@
         worker.noStartsUntil = std::max(worker.noStartsUntil, now + m.settings.stopTimeoutMs);
     if (outcome == order_outcome::unhealthy || outcome == order_outcome::malformed)
         worker.noStartsUntil = std::max(worker.noStartsUntil, now + baseQuarantineMs);
-    if (outcome == order_outcome::other_incarnation) {
+    if (outcome == order_outcome::other_incarnation && start.incarnation == worker.incarnation) {
         m.dropLostWorker(worker, "another_life_at_address");
         return;
     }
--- a/src/jobs/process/cell_workers.cpp
+++ b/src/jobs/process/cell_workers.cpp
@@ -219,7 +219,8 @@
         m.log(log_line("look_failed").add("worker", poll.worker).add("outcome", toString(outcome)));
     if (outcome == order_outcome::fenced)
         m.markFenced(worker, poll.incarnation);
-    if (outcome == order_outcome::other_incarnation && worker.hasReported)
+    if (outcome == order_outcome::other_incarnation && worker.hasReported
+        && poll.incarnation == worker.incarnation)
         m.dropLostWorker(worker, "another_life_at_address");
 }
 
--- a/tests/jobs/restart_test.cpp
+++ b/tests/jobs/restart_test.cpp
@@ -12,6 +12,8 @@
 
 namespace {
 
+constexpr int64_t laterLifeMs = 9; // Start of a later incarnation than that of workerRecord().
+
 // Begins with the given jobs and one worker that has reported.
 void begin(cell_driver& driver, const std::map<job_id, job_record>& jobs)
 {
@@ -166,3 +168,29 @@
     driver.runOnce();
     BOOST_TEST(driver.take<start_action>().size() == 1);
 }
+
+BOOST_AUTO_TEST_CASE(late_answer_of_an_earlier_incarnation_ends_nothing_on_the_later_one)
+{
+    cell_driver driver;
+    begin(driver, { { "j", singleStepJob(1) } });
+    auto starts = driver.take<start_action>();
+    BOOST_REQUIRE(starts.size() == 1);
+    worker_record laterLife = workerRecord("w");
+    laterLife.startedUnixMs = laterLifeMs;
+    driver.scheduler.setWorker(laterLife, driver.now);
+    worker_report report;
+    report.startedUnixMs = laterLifeMs;
+    driver.report("w", report);
+    driver.scheduler.addJob("k", singleStepJob(1));
+    driver.runOnce();
+    driver.runOnce();
+    auto laterStarts = driver.take<start_action>();
+    BOOST_REQUIRE(laterStarts.size() == 1);
+    driver.scheduler.onStarted(laterStarts[0], order_outcome::done, driver.now);
+    addSecondWorker(driver);
+    driver.scheduler.onStarted(starts[0], order_outcome::other_incarnation, driver.now);
+    for (int i = 0; i < 10; i++)
+        driver.runOnce();
+    for (const auto& start : driver.take<start_action>())
+        BOOST_TEST(start.task.job == "j");
+}
