Acknowledge nothing to a worker that has not reported since a failed poll

What callers would see: a task that ended `done` on a worker that had just started again runs a second time.

Cause: a worker that starts again under its id numbers its completions from 1. The first poll after the restart still carried the acknowledgement of the earlier incarnation, for example 57, and made the new one forget all its ends up to 57. A start that was sent before the restart was known may have run and ended there: its end is acknowledged, no report lists it, and the task is placed again. The token does not help, since the new incarnation has seen none.

Evidence: without the change `poll_after_a_failed_one_acknowledges_nothing` fails (57 instead of 0).

A restart breaks the poll that is in flight, so the polls after a failed one acknowledge nothing until a report has shown which incarnation answers. Nothing is lost by it: what was acknowledged stays forgotten, the rest is listed again. A poll that is itself delivered late to the new incarnation is not covered.

--- a/src/jobs/process/cell_workers.cpp
+++ b/src/jobs/process/cell_workers.cpp
@@ -121,7 +121,10 @@
         return;
     if (worker.stoppingAttempts > 0)
         resendStops(worker);
-    poll_action poll { worker.info.id, worker.acknowledgedSequence, std::nullopt, 0, worker.incarnation };
+    // After a failed poll the worker may have started again, and its sequence numbers with it. A report shows
+    // which incarnation it is, so nothing is acknowledged before the next one.
+    uint64_t acknowledged = worker.failedPolls == 0 ? worker.acknowledgedSequence : 0;
+    poll_action poll { worker.info.id, acknowledged, std::nullopt, 0, worker.incarnation };
     if (worker.hasReported) {
         bool shared = worker.serviceCpu > 0 && worker.bestEffortCpu > 0;
         // The interval grows with the number of workers, which bounds the total poll rate.
--- a/tests/jobs/restart_test.cpp
+++ b/tests/jobs/restart_test.cpp
@@ -194,3 +194,32 @@
     for (const auto& start : driver.take<start_action>())
         BOOST_TEST(start.task.job == "j");
 }
+
+BOOST_AUTO_TEST_CASE(poll_after_a_failed_one_acknowledges_nothing)
+{
+    cell_driver driver;
+    begin(driver, { { "j", singleStepJob(1) } });
+    auto starts = driver.take<start_action>();
+    BOOST_REQUIRE(starts.size() == 1);
+    worker_report report;
+    report.completions.push_back({ 57, starts[0].task, 1, completion_kind::done, "" });
+    driver.report("w", report);
+    driver.runOnce();
+    driver.take<poll_action>();
+    driver.report("w", {});
+    driver.runOnce();
+    auto polls = driver.take<poll_action>();
+    BOOST_REQUIRE(polls.size() == 1);
+    BOOST_TEST(polls[0].acknowledgedSequence == 57);
+    driver.scheduler.onPollFailed(polls[0], order_outcome::no_answer, driver.now);
+    driver.now += 1'000;
+    driver.runOnce();
+    polls = driver.take<poll_action>();
+    BOOST_REQUIRE(polls.size() == 1);
+    BOOST_TEST(polls[0].acknowledgedSequence == 0);
+    driver.report("w", {});
+    driver.runOnce();
+    polls = driver.take<poll_action>();
+    BOOST_REQUIRE(polls.size() == 1);
+    BOOST_TEST(polls[0].acknowledgedSequence == 57);
+}
