The job log counts as read only up to what a read returned

What callers would see: an accepted job is answered 410 while its record waits to be read; and the progress of a finished job is deleted while a repeated submission of it is unread, after which it runs again.

Cause: an answer holds 1,024 kB at most. Its time counted as the time up to which the log was read, also when the answer ended before the end of the log.

Evidence: without the change `job_whose_record_is_not_read_yet_is_not_reported_as_unknown` fails: with reads that return one record each, the last of 20 jobs is reported as unknown after 3.5 s.

The time now advances only when the answer reaches the end that it states.

--- a/src/scheduler/process/cell_host_work.cpp
+++ b/src/scheduler/process/cell_host_work.cpp
@@ -193,7 +193,9 @@
                 scheduleInTerm(term, retryMs, [this, term, partition] { followJobs(term, partition); });
                 return;
             }
-            cursor.readUpTo = sentAt;
+            // An answer of limited size may hold only the first of the records.
+            if (answer.nextOffset >= answer.end)
+                cursor.readUpTo = sentAt;
             cursor.nextOffset = answer.nextOffset;
             for (const auto& record : answer.records) {
                 if (auto item = platform::decodeKeyedRecord(record))
--- /dev/null
+++ b/tests/scheduler/leader_test.cpp
@@ -0,0 +1,122 @@
+// What the leader of a cell does when the store, the workers or its own process misbehave.
+#define BOOST_TEST_MODULE leader
+#include "scheduler/scheduler.h"
+#include "tests/jobs/cell_driver.h"
+#include "tests/scheduler/log_store.h"
+
+#include <atomic>
+#include <boost/test/unit_test.hpp>
+#include <thread>
+
+using namespace camphorwell;
+using namespace camphorwell::testing;
+
+namespace {
+
+constexpr uint16_t storePort = 19811;
+constexpr uint16_t workerPort = 19812;
+constexpr uint16_t otherWorkerPort = 19813;
+constexpr int64_t workerStartMs = 10;
+const std::string jobsTopic = platform::keyedTopic("jobs-0");
+const std::string progressTopic = platform::keyedTopic("progress-0");
+const std::string claimsTopic = platform::keyedTopic("claims");
+
+std::string jobId(int number)
+{
+    std::string digits = std::to_string(number);
+    return std::string(16 - digits.size(), '0') + digits;
+}
+
+scheduler_settings leaderSettings()
+{
+    scheduler_settings out;
+    out.instance = "north-1";
+    out.address = "127.0.0.1";
+    out.store.address = "127.0.0.1:" + std::to_string(storePort);
+    out.incarnation = 1;
+    return out;
+}
+
+// An instance that takes part in the election of its only cell's leader.
+struct instance {
+    event_loop& loop;
+    scheduler_settings settings;
+    platform::store store { loop, settings.store };
+    event_log log { 1000 };
+    counters counts;
+    scheduler_context context { loop, settings, store, log, counts };
+    cell_host host { context, 0 };
+
+    explicit instance(event_loop& eventLoop, scheduler_settings given = leaderSettings())
+        : loop(eventLoop)
+        , settings(std::move(given))
+    {
+        host.setQueues(batchQueue());
+    }
+    void runFor(ms length)
+    {
+        loop.after(length, [this] { loop.stop(); });
+        loop.run();
+    }
+    // Runs until the condition holds, or until the time is over.
+    void runUntil(ms atMost, const std::function<bool()>& condition)
+    {
+        for (ms end = bootNow() + atMost; bootNow() < end && !condition();)
+            runFor(20);
+    }
+};
+
+// A store, a worker and an instance on one loop.
+struct fixture {
+    event_loop loop;
+    log_store log { loop, storePort };
+    loopback_worker worker { loop, workerPort, workerStartMs };
+    instance leader;
+
+    explicit fixture(const scheduler_settings& settings = leaderSettings())
+        : leader(loop, settings)
+    {
+        BOOST_REQUIRE(log.listening);
+        BOOST_REQUIRE(worker.listening);
+    }
+    void putJob(int number) { log.put(jobsTopic, jobId(number), encodeJob(singleStepJob(1))); }
+    void lead()
+    {
+        leader.host.start();
+        leader.runUntil(5'000, [this] { return leader.host.active(); });
+        BOOST_REQUIRE(leader.host.active());
+    }
+};
+
+bool isRequest(const http_request& request, const std::string& path, const std::string& topic)
+{
+    return request.path == path && queryOf(request)["Topic"] == topic;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(job_whose_record_is_not_read_yet_is_not_reported_as_unknown)
+{
+    fixture f;
+    f.lead();
+    constexpr ms readMs = 400;
+    // Each read returns one of the records only.
+    f.log.intercept = [&](const http_request& request, const reply_ptr& reply) {
+        if (!isRequest(request, "/log-read", jobsTopic))
+            return false;
+        size_t from = std::stoul(queryOf(request)["From"]);
+        const auto& records = f.log.topics[jobsTopic];
+        std::vector<std::string> page;
+        if (from < records.size())
+            page.push_back(records[from]);
+        f.loop.after(
+            readMs, [reply, page, end = records.size()] { reply->send(200, {}, readBody(end, page)); });
+        return true;
+    };
+    constexpr int jobs = 20;
+    for (int i = 0; i < jobs; i++)
+        f.putJob(i);
+    f.leader.runFor(3'500);
+    BOOST_TEST(f.leader.host.stateOf(jobId(0)).value().found);
+    BOOST_TEST(!f.leader.host.stateOf(jobId(jobs - 1)).has_value());
+}
