Recovery has read the job log up to its request, not up to its answer

Cause: the newest records are those of the time of the request, or later. The time of the answer was used, so records that were appended while a slow answer was on its way counted as read.

Evidence: without the change `records_appended_during_recovery_do_not_count_as_read` fails: with an answer that takes 1.5 s and no reads after it, a job appended meanwhile is reported as unknown.

--- a/src/scheduler/process/cell_host_recovery.cpp
+++ b/src/scheduler/process/cell_host_recovery.cpp
@@ -82,8 +82,9 @@
 
 void cell_host::state::recoverJobs(uint64_t term, int partition)
 {
+    ms sentAt = bootNow();
     context.store.readNewestByKey(
-        jobsTopic, partition, [this, term, partition](const platform::newest_answer& answer) {
+        jobsTopic, partition, [this, term, partition, sentAt](const platform::newest_answer& answer) {
             if (!leadsInTerm(term))
                 return;
             if (answer.outcome != platform::store_outcome::done) {
@@ -92,7 +93,7 @@
             }
             job_cursor& cursor = cursors[static_cast<size_t>(partition)];
             cursor.nextOffset = answer.end;
-            cursor.readUpTo = bootNow();
+            cursor.readUpTo = sentAt;
             for (const auto& item : answer.items)
                 recoveredJobs.emplace_back(static_cast<uint64_t>(partition), item);
             onRecoveryStepDone(term);
--- a/tests/scheduler/leader_test.cpp
+++ b/tests/scheduler/leader_test.cpp
@@ -120,3 +120,26 @@
     BOOST_TEST(f.leader.host.stateOf(jobId(0)).value().found);
     BOOST_TEST(!f.leader.host.stateOf(jobId(jobs - 1)).has_value());
 }
+
+BOOST_AUTO_TEST_CASE(records_appended_during_recovery_do_not_count_as_read)
+{
+    fixture f;
+    constexpr ms recoveryReadMs = 1'500;
+    f.log.intercept = [&](const http_request& request, const reply_ptr& reply) {
+        if (isRequest(request, "/log-newest", jobsTopic)) {
+            // The store's answer is of the time of the request.
+            std::string body = log_store::newestBody(f.log.topics[jobsTopic]);
+            f.putJob(1);
+            f.loop.after(recoveryReadMs, [reply, body] { reply->send(200, {}, body); });
+            return true;
+        }
+        if (isRequest(request, "/log-read", jobsTopic)) {
+            reply->send(503, {}, "");
+            return true;
+        }
+        return false;
+    };
+    f.lead();
+    f.leader.runFor(1'800);
+    BOOST_TEST(!f.leader.host.stateOf(jobId(1)).has_value());
+}
