The read position advances after a read that had expired

What callers would see: while reads of the job log expire, unknown jobs get no answer, and nothing that finished is dropped.

Cause: when the records at the position had expired, the newest ones were read and the position advanced, but not the time up to which the log was read.

Evidence: without the change `read_position_advances_while_reads_expire` fails: no answer about an unknown job after 3.5 s.

--- a/src/scheduler/process/cell_host_work.cpp
+++ b/src/scheduler/process/cell_host_work.cpp
@@ -173,12 +173,13 @@
                 return;
             job_cursor& cursor = cursors[static_cast<size_t>(partition)];
             if (answer.outcome == platform::store_outcome::expired) {
+                ms newestSentAt = bootNow();
                 context.store.readNewestByKey(
-                    jobsTopic, partition, [this, term, partition](const auto& newest) {
+                    jobsTopic, partition, [this, term, partition, newestSentAt](const auto& newest) {
                         if (!leadsInTerm(term))
                             return;
                         if (newest.outcome == platform::store_outcome::done) {
-                            cursors[static_cast<size_t>(partition)].nextOffset = newest.end;
+                            cursors[static_cast<size_t>(partition)] = { partition, newest.end, newestSentAt };
                             for (const auto& item : newest.items)
                                 applyJobRecord(partition, item);
                             scheduleFlush();
--- a/tests/scheduler/leader_test.cpp
+++ b/tests/scheduler/leader_test.cpp
@@ -143,3 +143,19 @@
     f.leader.runFor(1'800);
     BOOST_TEST(!f.leader.host.stateOf(jobId(1)).has_value());
 }
+
+BOOST_AUTO_TEST_CASE(read_position_advances_while_reads_expire)
+{
+    fixture f;
+    f.lead();
+    f.log.intercept = [&](const http_request& request, const reply_ptr& reply) {
+        if (!isRequest(request, "/log-read", jobsTopic))
+            return false;
+        f.loop.after(50, [reply] { reply->send(410, {}, R"({"First":0})"); });
+        return true;
+    };
+    f.leader.runFor(3'500);
+    auto unknown = f.leader.host.stateOf(jobId(1));
+    BOOST_REQUIRE(unknown.has_value());
+    BOOST_TEST(!unknown->found);
+}
