Give up the leadership when progress appends are out of order

What callers would see: nothing starts and nothing completes, while the leader renews its claim and no other instance takes over.

Cause: an append that the store refused for its sequence number was repeated with the same number without end. It can come to that after a fence that was sent twice and carried out late, or after an append without records.

Evidence: without the change `leader_whose_appends_are_out_of_order_gives_up_and_leads_again` fails: no start in 5 s, one epoch.

The leader now steps down; the next term has another epoch, starts its own sequence and reads what was appended. With the change the task starts under the second epoch.

--- a/src/scheduler/process/cell_host_work.cpp
+++ b/src/scheduler/process/cell_host_work.cpp
@@ -78,6 +78,12 @@
                 stepDown("fenced_at_store");
                 return;
             }
+            // The sequence can be started anew only under another epoch. Nothing is lost: the next term reads
+            // what was appended.
+            if (answer.outcome == platform::store_outcome::out_of_order) {
+                stepDown("append_out_of_order");
+                return;
+            }
             // Retry with the same sequence number: if the append was done, the store repeats its first
             // answer.
             scheduleInTerm(term, retryMs, [this, request, term] { appendProgress(request, term); });
--- a/tests/scheduler/leader_test.cpp
+++ b/tests/scheduler/leader_test.cpp
@@ -159,3 +159,24 @@
     BOOST_REQUIRE(unknown.has_value());
     BOOST_TEST(!unknown->found);
 }
+
+BOOST_AUTO_TEST_CASE(leader_whose_appends_are_out_of_order_gives_up_and_leads_again)
+{
+    fixture f;
+    std::set<std::string> epochs;
+    f.log.intercept = [&](const http_request& request, const reply_ptr& reply) {
+        if (!isRequest(request, "/log-append", progressTopic) || request.body.empty())
+            return false;
+        epochs.insert(queryOf(request)["epoch"]);
+        if (epochs.size() > 1)
+            return false;
+        reply->send(409, {}, R"({"Reason":"seq","Expected":9})");
+        return true;
+    };
+    f.log.putWorker("w", workerPort, workerStartMs);
+    f.putJob(1);
+    f.lead();
+    f.leader.runUntil(5'000, [&] { return f.worker.starts > 0; });
+    BOOST_TEST(f.worker.starts == 1);
+    BOOST_TEST(epochs.size() == 2);
+}
