Split progress writes that exceed one append

The store refuses a larger one each time, and it was repeated without end. After an outage of the store, or at a takeover, all jobs change at once.

Evidence: without the change `progress_that_exceeds_one_append_is_written_in_several` fails: none of 60 tasks starts in 5 s. With it all 60 start.

A write is now appended in as many calls as it needs, in order. It counts as durable only after the last, so starts and acknowledgements wait for the whole write; if the leader is replaced between two calls, the next one finds attempts that were recorded and never started, which it handles as before.

Still open: a single record that exceeds the store's limit for a record is repeated without end.

--- a/src/scheduler/process/cell_host_state.h
+++ b/src/scheduler/process/cell_host_state.h
@@ -13,6 +13,12 @@
     ms readUpTo = 0; // Every record appended before this time has been read.
 };
 
+// The progress records of one write of the cell. They are appended in order, in as many calls as they need.
+struct progress_write {
+    std::vector<std::string> records;
+    size_t appended = 0; // Number of records that are durable.
+};
+
 struct cell_host::state {
     state(scheduler_context&, int cellNumber);
 
@@ -69,7 +75,9 @@
     void performActions();
     void scheduleFlush();
     void perform(const action&);
-    void appendProgress(std::shared_ptr<platform::append_request>, uint64_t term);
+    void appendProgress(const std::shared_ptr<progress_write>&, uint64_t term);
+    void sendProgress(const std::shared_ptr<progress_write>&,
+        const std::shared_ptr<platform::append_request>&, uint64_t term);
     void followJobs(uint64_t term, int partition);
     void followWorkers(uint64_t term);
     void applyJobRecord(int partition, const platform::keyed_item&);
--- a/src/scheduler/process/cell_host_work.cpp
+++ b/src/scheduler/process/cell_host_work.cpp
@@ -9,6 +9,7 @@
     constexpr ms workerReadPeriodMs = 300;
     constexpr ms retryMs = 150;
     constexpr ms appendTimeoutMs = 1500;
+    constexpr size_t recordLengthBytes = 4; // Length of a record, before it in the body of an append.
     constexpr ms loadModelPeriodMs = 3000; // The load model is appended with progress records.
     constexpr ms tombstonePeriodMs = 4000;
     constexpr size_t maxTombstonesPerAppend = 500;
@@ -22,16 +23,14 @@
         return;
     performActions();
     if (auto batch = ledCell->takeWrite(bootNow())) {
-        auto request = std::make_shared<platform::append_request>();
-        request->topic = progressTopic;
-        request->producer = platform::producer_sequence { "owner", token, ++progressSequence };
+        auto write = std::make_shared<progress_write>();
         for (const auto& record : batch->records)
-            request->records.push_back(platform::encodeKeyedRecord(record.job, record.bytes));
+            write->records.push_back(platform::encodeKeyedRecord(record.job, record.bytes));
         if (bootNow() - loadModelWrittenAt > loadModelPeriodMs) {
             loadModelWrittenAt = bootNow();
-            request->records.push_back(platform::encodeKeyedRecord(loadModelKey, ledCell->encodeLoadModel()));
+            write->records.push_back(platform::encodeKeyedRecord(loadModelKey, ledCell->encodeLoadModel()));
         }
-        appendProgress(request, leaderTerm);
+        appendProgress(write, leaderTerm);
     }
     performActions();
 }
@@ -58,13 +57,35 @@
     });
 }
 
-void cell_host::state::appendProgress(std::shared_ptr<platform::append_request> request, uint64_t term)
+// Appends as many of the remaining records as fit into one call.
+void cell_host::state::appendProgress(const std::shared_ptr<progress_write>& write, uint64_t term)
+{
+    auto request = std::make_shared<platform::append_request>();
+    request->topic = progressTopic;
+    request->producer = platform::producer_sequence { "owner", token, ++progressSequence };
+    size_t bytes = 0;
+    for (size_t i = write->appended; i < write->records.size(); i++) {
+        bytes += write->records[i].size() + recordLengthBytes;
+        if (!request->records.empty() && bytes > context.settings.store.maxAppendBytes)
+            break;
+        request->records.push_back(write->records[i]);
+    }
+    sendProgress(write, request, term);
+}
+
+void cell_host::state::sendProgress(const std::shared_ptr<progress_write>& write,
+    const std::shared_ptr<platform::append_request>& request, uint64_t term)
 {
     context.store.append(
-        *request, appendTimeoutMs, [this, request, term](const platform::append_answer& answer) {
+        *request, appendTimeoutMs, [this, write, request, term](const platform::append_answer& answer) {
             if (!leadsInTerm(term))
                 return;
             if (answer.outcome == platform::store_outcome::done) {
+                write->appended += request->records.size();
+                if (write->appended < write->records.size()) {
+                    appendProgress(write, term);
+                    return;
+                }
                 ledCell->onWritten(bootNow());
                 flushCell();
                 return;
@@ -86,7 +107,8 @@
             }
             // Retry with the same sequence number: if the append was done, the store repeats its first
             // answer.
-            scheduleInTerm(term, retryMs, [this, request, term] { appendProgress(request, term); });
+            scheduleInTerm(
+                term, retryMs, [this, write, request, term] { sendProgress(write, request, term); });
         });
 }
 
--- a/tests/scheduler/leader_test.cpp
+++ b/tests/scheduler/leader_test.cpp
@@ -180,3 +180,23 @@
     BOOST_TEST(f.worker.starts == 1);
     BOOST_TEST(epochs.size() == 2);
 }
+
+BOOST_AUTO_TEST_CASE(progress_that_exceeds_one_append_is_written_in_several)
+{
+    scheduler_settings settings = leaderSettings();
+    settings.store.maxAppendBytes = 600;
+    fixture f(settings);
+    f.log.intercept = [&](const http_request& request, const reply_ptr& reply) {
+        if (!isRequest(request, "/log-append", progressTopic) || request.body.size() <= 600)
+            return false;
+        reply->send(400, {}, "");
+        return true;
+    };
+    constexpr int jobs = 60;
+    f.log.putWorker("w", workerPort, workerStartMs, jobs);
+    for (int i = 0; i < jobs; i++)
+        f.putJob(i);
+    f.lead();
+    f.leader.runUntil(5'000, [&] { return f.worker.starts >= jobs; });
+    BOOST_TEST(f.worker.starts == jobs);
+}
