Grant leases and start tasks only on a leadership that is recent now

What callers would see: two attempts of a task at once, after the leader was paused for longer than its claim lasts.

Cause: whether leases may be granted was decided in each tick. Answers that waited in the sockets during a pause are handled before the first tick after it. A confirmed append then sent its starts, and a report renewed a lease, on a permission that had run out. A worker that the next leader had not reached yet carried the start out, while that leader held the attempt for expired.

Evidence: without the change `append_confirmed_during_a_pause_starts_nothing` fails: one start after a pause of 0.6 s with leases that may be granted for 0.3 s.

The permission is now computed at each call into the cell that can start a task or renew a lease. The deadline of an order is absolute and computed at the same time, so a pause between that and the sending makes the order late.

--- a/src/scheduler/process/cell_host.cpp
+++ b/src/scheduler/process/cell_host.cpp
@@ -160,9 +160,8 @@
         appendClaim(step);
     if (!ledCell || !recovered)
         return;
-    ledCell->setMayGrantLeases(election.mayGrant(now));
     ledCell->setJobLogReadUpTo(jobLogReadUpTo());
-    ledCell->tick(now, unixNow());
+    currentCell().tick(now, unixNow());
     flushCell();
     if (now - statisticsLoggedAt >= statisticsPeriodMs)
         logStatistics();
@@ -235,6 +234,12 @@
         election.stepDown();
 }
 
+cell& cell_host::state::currentCell()
+{
+    ledCell->setMayGrantLeases(election.mayGrant(bootNow()));
+    return *ledCell;
+}
+
 void cell_host::state::scheduleInTerm(uint64_t term, ms pause, std::function<void()> callback)
 {
     context.loop.after(pause, [this, term, callback = std::move(callback)] {
--- a/src/scheduler/process/cell_host_state.h
+++ b/src/scheduler/process/cell_host_state.h
@@ -88,6 +88,9 @@
 
     // Calls the function after a pause, unless the term has ended by then.
     void scheduleInTerm(uint64_t term, ms pause, std::function<void()>);
+    // The led cell, which may grant leases only if the leadership is still recent. The process may have been
+    // paused since the last tick.
+    cell& currentCell();
     bool leadsInTerm(uint64_t term) const { return ledCell && leaderTerm == term; }
 };
 
--- a/src/scheduler/process/cell_host_work.cpp
+++ b/src/scheduler/process/cell_host_work.cpp
@@ -51,8 +51,7 @@
         flushScheduled = false;
         if (!ledCell || !recovered)
             return;
-        ledCell->setMayGrantLeases(election.mayGrant(bootNow()));
-        ledCell->placePending(bootNow());
+        currentCell().placePending(bootNow());
         flushCell();
     });
 }
@@ -86,7 +85,7 @@
                     appendProgress(write, term);
                     return;
                 }
-                ledCell->onWritten(bootNow());
+                currentCell().onWritten(bootNow());
                 flushCell();
                 return;
             }
@@ -163,7 +162,7 @@
                     if (!self.leadsInTerm(term))
                         return;
                     if (outcome == order_outcome::done)
-                        self.ledCell->onReport(order.worker, report, sentAt, bootNow());
+                        self.currentCell().onReport(order.worker, report, sentAt, bootNow());
                     else
                         self.ledCell->onPollFailed(order, outcome, bootNow());
                     self.scheduleFlush();
--- a/tests/scheduler/leader_test.cpp
+++ b/tests/scheduler/leader_test.cpp
@@ -200,3 +200,50 @@
     f.leader.runUntil(5'000, [&] { return f.worker.starts >= jobs; });
     BOOST_TEST(f.worker.starts == jobs);
 }
+
+// The leader is paused while an append is in flight, for longer than its leadership lasts.
+BOOST_AUTO_TEST_CASE(append_confirmed_during_a_pause_starts_nothing)
+{
+    constexpr ms pauseMs = 600;
+    scheduler_settings settings = leaderSettings();
+    settings.election.grantWindowMs = 300;
+    settings.election.renewIntervalMs = 100;
+    std::atomic<bool> stopping = false;
+    std::atomic<bool> appended = false;
+    std::atomic<int> starts = 0;
+    std::thread others([&] {
+        event_loop loop;
+        log_store log(loop, storePort);
+        loopback_worker worker(loop, workerPort, workerStartMs);
+        log.putWorker("w", workerPort, workerStartMs);
+        log.put(jobsTopic, jobId(1), encodeJob(singleStepJob(1)));
+        log.intercept = [&](const http_request& request, const reply_ptr& reply) {
+            if (isRequest(request, "/log-append", progressTopic) && !request.body.empty() && !appended) {
+                appended = true;
+                // Another instance claims the cell meanwhile.
+                log.put(claimsTopic, "owner", encodeClaim({ "north-2", 1, "127.0.0.1:1", 0, false, 1 }));
+                loop.after(pauseMs / 2, [&log, request, reply] { log.serve(request, reply); });
+                return true;
+            }
+            return false;
+        };
+        loop.every(10, [&] {
+            starts = worker.starts.load();
+            if (stopping)
+                loop.stop();
+        });
+        loop.run();
+    });
+    {
+        event_loop loop;
+        instance leader(loop, settings);
+        leader.host.start();
+        leader.runUntil(5'000, [&] { return appended.load(); });
+        std::this_thread::sleep_for(std::chrono::milliseconds(pauseMs));
+        leader.runFor(500);
+    }
+    stopping = true;
+    others.join();
+    BOOST_TEST(appended);
+    BOOST_TEST(starts == 0);
+}
