Call a worker at the address of its present incarnation

What callers would see: tasks on a healthy worker are started elsewhere while they run; or orders go to a worker that was removed.

Cause: the host kept the address of the last record it read, and the cell the newest incarnation. A record of an earlier incarnation that comes late changed the address, and the cell ignored it. Polls then went to another worker's address; its answer, that it is another incarnation, dropped all attempts of the healthy one. The host's table also kept workers that were removed.

The cell is now the only place that knows workers and their addresses.

--- a/src/jobs/process/cell.h
+++ b/src/jobs/process/cell.h
@@ -95,6 +95,9 @@
     void setSettings(const cell_settings&);
     void setWorker(const worker_record&, ms now);
     void removeWorker(const worker_id&, ms now);
+    std::vector<worker_id> listedWorkers() const;
+    // HOST:PORT of the worker's present incarnation; empty if the worker is not known.
+    std::string addressOf(const worker_id&) const;
     // Whether the leadership is recent enough to grant leases. Otherwise no task is started.
     void setMayGrantLeases(bool);
 
--- a/src/jobs/process/cell_workers.cpp
+++ b/src/jobs/process/cell_workers.cpp
@@ -41,6 +41,22 @@
     m_model->removeWorker(id);
 }
 
+std::vector<worker_id> cell::listedWorkers() const
+{
+    std::vector<worker_id> out;
+    for (const worker_state* worker : m_model->workers.all()) {
+        if (worker->listed)
+            out.push_back(worker->info.id);
+    }
+    return out;
+}
+
+std::string cell::addressOf(const worker_id& id) const
+{
+    const worker_state* found = m_model->workers.find(id);
+    return found ? found->info.address : std::string();
+}
+
 worker_state& cell_model::findOrAddWorker(const worker_id& id)
 {
     if (worker_state* known = workers.find(id))
--- a/src/scheduler/process/cell_host.cpp
+++ b/src/scheduler/process/cell_host.cpp
@@ -228,7 +228,6 @@
     recovered = false;
     cursors.clear();
     tombstones = {};
-    workerAddresses.clear();
     recoveredJobs.clear();
     if (election.isLeader())
         election.stepDown();
--- a/src/scheduler/process/cell_host_recovery.cpp
+++ b/src/scheduler/process/cell_host_recovery.cpp
@@ -110,20 +110,17 @@
                 scheduleInTerm(term, retryMs, [this, term] { recoverWorkers(term); });
                 return;
             }
-            // Remove workers that are no longer listed. None is known during recovery; later reads follow the
-            // expiry of the records at the read position, which may include the removal of a worker.
+            // During recovery no worker is listed yet. Later reads follow the expiry of the records at the
+            // read position, which may include the removal of a worker.
             std::set<worker_id> listed;
             for (const auto& item : answer.items) {
                 listed.insert(item.key);
                 applyWorkerRecord(item);
             }
-            std::vector<worker_id> gone;
-            for (const auto& [id, address] : workerAddresses) {
+            for (const auto& id : ledCell->listedWorkers()) {
                 if (!listed.contains(id))
-                    gone.push_back(id);
+                    applyWorkerRecord({ id, {}, 0 });
             }
-            for (const auto& id : gone)
-                applyWorkerRecord({ id, {}, 0 });
             nextWorkerOffset = answer.end;
             if (recovered)
                 followWorkers(term);
--- a/src/scheduler/process/cell_host_state.h
+++ b/src/scheduler/process/cell_host_state.h
@@ -43,7 +43,6 @@
     std::vector<job_cursor> cursors;
     job_tombstones tombstones;
     uint64_t nextWorkerOffset = 0;
-    std::map<worker_id, std::string> workerAddresses;
     int recoveryStepsLeft = 0;
     std::vector<std::pair<uint64_t, platform::keyed_item>> recoveredJobs;
     ms recoveryStartedAt = 0;
--- a/src/scheduler/process/cell_host_work.cpp
+++ b/src/scheduler/process/cell_host_work.cpp
@@ -113,20 +113,15 @@
 
 void cell_host::state::perform(const action& requested)
 {
-    uint64_t term = leaderTerm;
-    auto addressOf = [this](const worker_id& id) {
-        auto found = workerAddresses.find(id);
-        return found == workerAddresses.end() ? std::string() : found->second;
-    };
     struct performer {
         state& self;
         uint64_t term;
-        std::function<std::string(const worker_id&)> addressOf;
 
         void operator()(const start_action& order) const
         {
             self.context.counts["starts"]++;
-            self.workers.start(addressOf(order.worker), order, fencingToken(self.token, order.incarnation),
+            self.workers.start(self.ledCell->addressOf(order.worker), order,
+                fencingToken(self.token, order.incarnation),
                 [&self = self, term = term, order](order_outcome outcome) {
                     if (!self.leadsInTerm(term))
                         return;
@@ -140,7 +135,8 @@
         void operator()(const stop_action& order) const
         {
             self.context.counts["stops"]++;
-            self.workers.stop(addressOf(order.worker), order, fencingToken(self.token, order.incarnation),
+            self.workers.stop(self.ledCell->addressOf(order.worker), order,
+                fencingToken(self.token, order.incarnation),
                 [&self = self, term = term, order](order_outcome outcome) {
                     if (self.leadsInTerm(term))
                         self.ledCell->onStopped(order, outcome, bootNow());
@@ -149,14 +145,15 @@
         void operator()(const pace_action& order) const
         {
             self.context.counts["paces"]++;
-            self.workers.pace(addressOf(order.worker), order, fencingToken(self.token, order.incarnation),
-                [](order_outcome) {});
+            self.workers.pace(self.ledCell->addressOf(order.worker), order,
+                fencingToken(self.token, order.incarnation), [](order_outcome) {});
         }
         void operator()(const poll_action& order) const
         {
             self.context.counts["looks"]++;
             ms sentAt = bootNow();
-            self.workers.poll(addressOf(order.worker), order, fencingToken(self.token, order.incarnation),
+            self.workers.poll(self.ledCell->addressOf(order.worker), order,
+                fencingToken(self.token, order.incarnation),
                 [&self = self, term = term, order, sentAt](
                     order_outcome outcome, const worker_report& report) {
                     if (!self.leadsInTerm(term))
@@ -185,7 +182,7 @@
         }
         void operator()(const forget_job_action& request) const { self.tombstones.request(request); }
     };
-    std::visit(performer { *this, term, addressOf }, requested);
+    std::visit(performer { *this, leaderTerm }, requested);
 }
 
 void cell_host::state::followJobs(uint64_t term, int partition)
@@ -285,7 +282,6 @@
         context.counts["worker_unreadable"]++;
         return;
     }
-    workerAddresses[record->id] = record->address;
     ledCell->setWorker(*record, bootNow());
 }
 
--- a/tests/scheduler/leader_test.cpp
+++ b/tests/scheduler/leader_test.cpp
@@ -247,3 +247,20 @@
     BOOST_TEST(appended);
     BOOST_TEST(starts == 0);
 }
+
+BOOST_AUTO_TEST_CASE(record_of_an_earlier_incarnation_does_not_redirect_a_worker)
+{
+    fixture f;
+    loopback_worker other(f.loop, otherWorkerPort, workerStartMs);
+    BOOST_REQUIRE(other.listening);
+    f.log.putWorker("w", workerPort, workerStartMs);
+    f.putJob(1);
+    f.lead();
+    f.leader.runUntil(5'000, [&] { return f.worker.starts > 0; });
+    f.log.putWorker("w", otherWorkerPort, workerStartMs - 1);
+    f.leader.runFor(1'000);
+    BOOST_TEST(other.polls == 0);
+    int polls = f.worker.polls;
+    f.leader.runFor(500);
+    BOOST_TEST(f.worker.polls > polls);
+}
