A report of an earlier start time counts as a failed poll

What callers would see: tasks that ran on a worker whose clock was set back before it started again run a second time.

Cause: such a report was ignored, but the worker stayed in use for up to a second: polls renewed its lease and carried the acknowledgement of the incarnation before, starts went to it, and none of its ends was read.

Evidence: without the change `worker_that_started_again_with_an_earlier_clock_is_not_used` fails: the poll after the report acknowledges 57 and renews the lease, and a task is started.

The worker stays out of use until its record or its clock shows a later start.

--- a/src/jobs/process/cell_model.h
+++ b/src/jobs/process/cell_model.h
@@ -377,6 +377,7 @@
     void onReport(worker_state&, const worker_report&, ms sentAt);
     void handleListed(worker_state&, const running_task&);
     void handleUnlisted(worker_state&, ms sentAt);
+    void countFailedPoll(worker_state&);
     void pollWorkers();
     void pollWorker(worker_state&);
     void resendStops(worker_state&);
--- a/src/jobs/process/cell_workers.cpp
+++ b/src/jobs/process/cell_workers.cpp
@@ -221,6 +221,13 @@
     }
 }
 
+void cell_model::countFailedPoll(worker_state& worker)
+{
+    worker.pollInFlight = false;
+    worker.failedPolls++;
+    worker.nextPollAt = now + std::min<ms>(pollRetryMs * worker.failedPolls, maxPollRetryMs);
+}
+
 void cell::onPollFailed(const poll_action& poll, order_outcome outcome, ms now)
 {
     cell_model& m = *m_model;
@@ -229,11 +236,9 @@
     if (!found)
         return;
     worker_state& worker = *found;
-    worker.pollInFlight = false;
-    worker.failedPolls++;
+    m.countFailedPoll(worker);
     if (m.hasFault(cell_fault::drop_silent_workers) && worker.hasReported)
         m.dropLostWorker(worker, "silent");
-    worker.nextPollAt = now + std::min<ms>(pollRetryMs * worker.failedPolls, maxPollRetryMs);
     if (worker.failedPolls == 1)
         m.log(log_line("look_failed").add("worker", poll.worker).add("outcome", toString(outcome)));
     if (outcome == order_outcome::fenced)
@@ -252,13 +257,19 @@
 
 void cell_model::onReport(worker_state& worker, const worker_report& report, ms sentAt)
 {
+    if (report.startedUnixMs != 0 && report.startedUnixMs < worker.info.startedUnixMs) {
+        // The report is of an earlier incarnation, or of a later one that started after the worker's clock
+        // was set back. It proves nothing about the attempts.
+        countFailedPoll(worker);
+        if (worker.failedPolls == 1)
+            log(log_line("look_failed").add("worker", worker.info.id).add("outcome", "earlier_start"));
+        return;
+    }
     worker.pollInFlight = false;
     worker.nextPollAt = now;
     if (worker.failedPolls > 0)
         placingNeeded = true;
     worker.failedPolls = 0;
-    if (report.startedUnixMs != 0 && report.startedUnixMs < worker.info.startedUnixMs)
-        return; // The report is of an earlier incarnation.
     if (report.startedUnixMs > worker.info.startedUnixMs) {
         if (worker.info.startedUnixMs != 0)
             handleNewIncarnation(worker);
--- a/tests/jobs/restart_test.cpp
+++ b/tests/jobs/restart_test.cpp
@@ -223,3 +223,28 @@
     BOOST_REQUIRE(polls.size() == 1);
     BOOST_TEST(polls[0].acknowledgedSequence == 57);
 }
+
+BOOST_AUTO_TEST_CASE(worker_that_started_again_with_an_earlier_clock_is_not_used)
+{
+    cell_driver driver;
+    begin(driver, { { "j", singleStepJob(1) } });
+    auto starts = driver.take<start_action>();
+    BOOST_REQUIRE(starts.size() == 1);
+    worker_report report;
+    report.completions.push_back({ 57, starts[0].task, 1, completion_kind::done, "" });
+    driver.report("w", report);
+    driver.runOnce();
+    worker_report earlierClock;
+    earlierClock.startedUnixMs = workerRecord("w").startedUnixMs - 1;
+    driver.report("w", earlierClock);
+    driver.take<poll_action>();
+    driver.scheduler.addJob("k", singleStepJob(1));
+    driver.now += 300;
+    driver.runOnce();
+    driver.runOnce();
+    auto polls = driver.take<poll_action>();
+    BOOST_REQUIRE(polls.size() == 1);
+    BOOST_TEST(polls[0].acknowledgedSequence == 0);
+    BOOST_TEST(!polls[0].leaseUntilWorkerMs.has_value());
+    BOOST_TEST(driver.take<start_action>().empty());
+}
