--- a/src/jobs/process/cell.cpp
+++ b/src/jobs/process/cell.cpp
@@ -189,7 +189,7 @@
 
 void cell_model::requestDeletion(job_run& job)
 {
-    if (job.recordsRead != job.recordsDeleted)
+    if (job.recordsRead != job.recordsDeleted && !job.progressUnreadable)
         actions.push_back(forget_job_action { job.id, job.recordsRead });
 }
 
--- a/src/jobs/process/cell_model.h
+++ b/src/jobs/process/cell_model.h
@@ -133,6 +133,7 @@
     std::shared_ptr<const std::string> payload;
     std::string unappliedProgress; // Progress restored before the record of the job itself.
     bool hasProgress = false; // An earlier leader has recorded progress of the job.
+    bool progressUnreadable = false; // The job's records must be kept as they are.
 
     bool isOver() const { return state >= job_state::completed; }
     bool isDurablyOver() const { return durableState >= job_state::completed; }
@@ -363,7 +364,9 @@
     static task_attempt* findAttempt(const task_placement&);
     std::string encodeProgress(const job_run&) const;
     void applyProgress(job_run&, std::string_view bytes);
+    void setProgressUnreadable(job_run&, std::string_view error);
     std::optional<write_batch> takeWrite();
+    void forgetJobs(write_batch&);
     void onWritten();
     void sendRecordedStarts();
     bool startable(const task_placement&) const;
@@ -376,6 +379,7 @@
     void onReport(worker_state&, const worker_report&, ms sentAt);
     void handleListed(worker_state&, const running_task&);
     void handleUnlisted(worker_state&, ms sentAt);
+    void countFailedPoll(worker_state&);
     void pollWorkers();
     void pollWorker(worker_state&);
     void resendStops(worker_state&);
--- a/src/jobs/process/cell_workers.cpp
+++ b/src/jobs/process/cell_workers.cpp
@@ -41,6 +41,22 @@
     m_model->removeWorker(id);
 }
 
+std::vector<worker_id> cell::listedWorkers() const
+{
+    std::vector<worker_id> out;
+    for (const worker_state* worker : m_model->workers.all()) {
+        if (worker->listed)
+            out.push_back(worker->info.id);
+    }
+    return out;
+}
+
+std::string cell::addressOf(const worker_id& id) const
+{
+    const worker_state* found = m_model->workers.find(id);
+    return found ? found->info.address : std::string();
+}
+
 worker_state& cell_model::findOrAddWorker(const worker_id& id)
 {
     if (worker_state* known = workers.find(id))
@@ -121,7 +137,10 @@
         return;
     if (worker.stoppingAttempts > 0)
         resendStops(worker);
-    poll_action poll { worker.info.id, worker.acknowledgedSequence, std::nullopt, 0, worker.incarnation };
+    // After a failed poll the worker may have started again, and its sequence numbers with it. A report shows
+    // which incarnation it is, so nothing is acknowledged before the next one.
+    uint64_t acknowledged = worker.failedPolls == 0 ? worker.acknowledgedSequence : 0;
+    poll_action poll { worker.info.id, acknowledged, std::nullopt, 0, worker.incarnation };
     if (worker.hasReported) {
         bool shared = worker.serviceCpu > 0 && worker.bestEffortCpu > 0;
         // The interval grows with the number of workers, which bounds the total poll rate.
@@ -202,6 +221,13 @@
     }
 }
 
+void cell_model::countFailedPoll(worker_state& worker)
+{
+    worker.pollInFlight = false;
+    worker.failedPolls++;
+    worker.nextPollAt = now + std::min<ms>(pollRetryMs * worker.failedPolls, maxPollRetryMs);
+}
+
 void cell::onPollFailed(const poll_action& poll, order_outcome outcome, ms now)
 {
     cell_model& m = *m_model;
@@ -210,16 +236,15 @@
     if (!found)
         return;
     worker_state& worker = *found;
-    worker.pollInFlight = false;
-    worker.failedPolls++;
+    m.countFailedPoll(worker);
     if (m.hasFault(cell_fault::drop_silent_workers) && worker.hasReported)
         m.dropLostWorker(worker, "silent");
-    worker.nextPollAt = now + std::min<ms>(pollRetryMs * worker.failedPolls, maxPollRetryMs);
     if (worker.failedPolls == 1)
         m.log(log_line("look_failed").add("worker", poll.worker).add("outcome", toString(outcome)));
     if (outcome == order_outcome::fenced)
         m.markFenced(worker, poll.incarnation);
-    if (outcome == order_outcome::other_incarnation && worker.hasReported)
+    if (outcome == order_outcome::other_incarnation && worker.hasReported
+        && poll.incarnation == worker.incarnation)
         m.dropLostWorker(worker, "another_life_at_address");
 }
 
@@ -232,13 +257,19 @@
 
 void cell_model::onReport(worker_state& worker, const worker_report& report, ms sentAt)
 {
+    if (report.startedUnixMs != 0 && report.startedUnixMs < worker.info.startedUnixMs) {
+        // The report is of an earlier incarnation, or of a later one that started after the worker's clock
+        // was set back. It proves nothing about the attempts.
+        countFailedPoll(worker);
+        if (worker.failedPolls == 1)
+            log(log_line("look_failed").add("worker", worker.info.id).add("outcome", "earlier_start"));
+        return;
+    }
     worker.pollInFlight = false;
     worker.nextPollAt = now;
     if (worker.failedPolls > 0)
         placingNeeded = true;
     worker.failedPolls = 0;
-    if (report.startedUnixMs != 0 && report.startedUnixMs < worker.info.startedUnixMs)
-        return; // The report is of an earlier incarnation.
     if (report.startedUnixMs > worker.info.startedUnixMs) {
         if (worker.info.startedUnixMs != 0)
             handleNewIncarnation(worker);
@@ -284,6 +315,10 @@
         // The attempt is not recorded, so its task may be started elsewhere. It is stopped, and nothing is
         // placed on this worker until it has ended.
         worker.unknownAttempts++;
+        if (step) {
+            task_run& task = step->tasks[static_cast<size_t>(listedTask.task.index)];
+            task.lastAttempt = std::max(task.lastAttempt, listedTask.attempt);
+        }
         log(log_line("unknown_run")
                 .add("task", listedTask.task.str())
                 .add("run", listedTask.attempt)
--- a/src/scheduler/process/cell_host_recovery.cpp
+++ b/src/scheduler/process/cell_host_recovery.cpp
@@ -82,8 +82,9 @@
 
 void cell_host::state::recoverJobs(uint64_t term, int partition)
 {
+    ms sentAt = bootNow();
     context.store.readNewestByKey(
-        jobsTopic, partition, [this, term, partition](const platform::newest_answer& answer) {
+        jobsTopic, partition, [this, term, partition, sentAt](const platform::newest_answer& answer) {
             if (!leadsInTerm(term))
                 return;
             if (answer.outcome != platform::store_outcome::done) {
@@ -92,7 +93,7 @@
             }
             job_cursor& cursor = cursors[static_cast<size_t>(partition)];
             cursor.nextOffset = answer.end;
-            cursor.readUpTo = bootNow();
+            cursor.readUpTo = sentAt;
             for (const auto& item : answer.items)
                 recoveredJobs.emplace_back(static_cast<uint64_t>(partition), item);
             onRecoveryStepDone(term);
@@ -109,20 +110,17 @@
                 scheduleInTerm(term, retryMs, [this, term] { recoverWorkers(term); });
                 return;
             }
-            // Remove workers that are no longer listed. None is known during recovery; later reads follow the
-            // expiry of the records at the read position, which may include the removal of a worker.
+            // During recovery no worker is listed yet. Later reads follow the expiry of the records at the
+            // read position, which may include the removal of a worker.
             std::set<worker_id> listed;
             for (const auto& item : answer.items) {
                 listed.insert(item.key);
                 applyWorkerRecord(item);
             }
-            std::vector<worker_id> gone;
-            for (const auto& [id, address] : workerAddresses) {
+            for (const auto& id : ledCell->listedWorkers()) {
                 if (!listed.contains(id))
-                    gone.push_back(id);
+                    applyWorkerRecord({ id, {}, 0 });
             }
-            for (const auto& id : gone)
-                applyWorkerRecord({ id, {}, 0 });
             nextWorkerOffset = answer.end;
             if (recovered)
                 followWorkers(term);
--- a/src/scheduler/process/cell_host_state.h
+++ b/src/scheduler/process/cell_host_state.h
@@ -13,6 +13,12 @@
     ms readUpTo = 0; // Every record appended before this time has been read.
 };
 
+// The progress records of one write of the cell. They are appended in order, in as many calls as they need.
+struct progress_write {
+    std::vector<std::string> records;
+    size_t appended = 0; // Number of records that are durable.
+};
+
 struct cell_host::state {
     state(scheduler_context&, int cellNumber);
 
@@ -37,7 +43,6 @@
     std::vector<job_cursor> cursors;
     job_tombstones tombstones;
     uint64_t nextWorkerOffset = 0;
-    std::map<worker_id, std::string> workerAddresses;
     int recoveryStepsLeft = 0;
     std::vector<std::pair<uint64_t, platform::keyed_item>> recoveredJobs;
     ms recoveryStartedAt = 0;
@@ -69,7 +74,9 @@
     void performActions();
     void scheduleFlush();
     void perform(const action&);
-    void appendProgress(std::shared_ptr<platform::append_request>, uint64_t term);
+    void appendProgress(const std::shared_ptr<progress_write>&, uint64_t term);
+    void sendProgress(const std::shared_ptr<progress_write>&,
+        const std::shared_ptr<platform::append_request>&, uint64_t term);
     void followJobs(uint64_t term, int partition);
     void followWorkers(uint64_t term);
     void applyJobRecord(int partition, const platform::keyed_item&);
@@ -80,6 +87,9 @@
 
     // Calls the function after a pause, unless the term has ended by then.
     void scheduleInTerm(uint64_t term, ms pause, std::function<void()>);
+    // The led cell, which may grant leases only if the leadership is still recent. The process may have been
+    // paused since the last tick.
+    cell& currentCell();
     bool leadsInTerm(uint64_t term) const { return ledCell && leaderTerm == term; }
 };
 
--- /dev/null
+++ b/tests/jobs/restart_test.cpp
@@ -0,0 +1,250 @@
+// Tasks that have run, or may still run, are not started again.
+#define BOOST_TEST_MODULE restart
+#include "tests/jobs/cell_driver.h"
+
+#include <boost/test/unit_test.hpp>
+#include <nlohmann/json.hpp>
+
+using namespace camphorwell;
+using camphorwell::testing::cell_driver;
+using camphorwell::testing::singleStepJob;
+using camphorwell::testing::workerRecord;
+
+namespace {
+
+constexpr int64_t laterLifeMs = 9; // Start of a later incarnation than that of workerRecord().
+
+// Begins with the given jobs and one worker that has reported.
+void begin(cell_driver& driver, const std::map<job_id, job_record>& jobs)
+{
+    for (const auto& [id, record] : jobs)
+        driver.scheduler.addJob(id, record);
+    driver.scheduler.setWorker(workerRecord("w"), driver.now);
+    driver.scheduler.begin(driver.now, driver.now);
+    driver.runOnce();
+    driver.report("w", {});
+    driver.runOnce();
+}
+
+// Adds a second worker that has reported.
+void addSecondWorker(cell_driver& driver)
+{
+    driver.scheduler.setWorker(workerRecord("w2"), driver.now);
+    driver.runOnce();
+    driver.report("w2", {});
+    driver.runOnce();
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(job_with_unreadable_progress_is_not_run_as_new)
+{
+    using nlohmann::json;
+    constexpr int laterFormat = 2;
+    std::string laterRecord;
+    json::to_cbor(json::array({ laterFormat, 1, 1, json::array(), true }), laterRecord);
+    std::string unknownState;
+    json::to_cbor(json::array({ 1, 77, 1, json::array(), true }), unknownState);
+    for (const std::string& bytes : { std::string("\xff\xff"), laterRecord, unknownState }) {
+        cell_driver driver;
+        driver.scheduler.restoreProgress("j", bytes);
+        begin(driver, { { "j", singleStepJob(1) } });
+        BOOST_TEST(driver.take<start_action>().empty());
+        BOOST_TEST((driver.scheduler.stateOf("j") == job_state::failed));
+    }
+}
+
+BOOST_AUTO_TEST_CASE(unreadable_progress_is_kept_for_a_leader_that_can_read_it)
+{
+    using nlohmann::json;
+    // The second task's index is out of range.
+    std::string bytes;
+    json task = json::array({ 0, 1, 0, 0, json::array({ 1, "w" }) });
+    json badTask = json::array({ 7, 1, 0, 0, json::array({ 1, "w" }) });
+    json step = json::array({ 0, json::array({ task, badTask }) });
+    json::to_cbor(
+        json::array({ 1, 1, 1, json::array({ json::array({ 0, json::array({ step }) }) }), true }), bytes);
+    for (const std::string& record : { std::string("\xff\xff"), bytes }) {
+        cell_driver driver;
+        driver.scheduler.restoreProgress("j", record);
+        begin(driver, { { "j", singleStepJob(1) } });
+        driver.scheduler.addJob("j", singleStepJob(1));
+        driver.runOnce();
+        BOOST_TEST(driver.take<forget_job_action>().empty());
+        BOOST_TEST(!driver.progress.contains("j"));
+    }
+}
+
+BOOST_AUTO_TEST_CASE(completion_of_an_unrecorded_attempt_is_kept_for_the_next_leader)
+{
+    cell_driver first;
+    first.scheduler.addJob("j", singleStepJob(2));
+    first.scheduler.setWorker(workerRecord("w"), first.now);
+    first.scheduler.begin(first.now, first.now);
+    worker_report report;
+    report.completions.push_back({ 1, { "j", 0, 0, 0 }, 1, completion_kind::done, "" });
+    first.runOnce();
+    first.report("w", report);
+    first.runOnce();
+    cell_driver second;
+    second.scheduler.restoreProgress("j", first.progress.at("j"));
+    begin(second, { { "j", singleStepJob(2) } });
+    for (const auto& start : second.take<start_action>())
+        BOOST_TEST(start.task.index == 1);
+}
+
+BOOST_AUTO_TEST_CASE(end_of_an_unrecorded_gang_is_kept_for_the_next_leader)
+{
+    job_record record = singleStepJob(2);
+    record.spec.steps.push_back(record.spec.steps[0]);
+    record.spec.steps[0].gang = true;
+    record.spec.steps[1].dependsOn = { 0 };
+    cell_driver first;
+    first.scheduler.addJob("j", record);
+    first.scheduler.setWorker(workerRecord("w"), first.now);
+    first.scheduler.begin(first.now, first.now);
+    worker_report report;
+    report.completions.push_back({ 1, { "j", 0, 0, 0 }, 1, completion_kind::done, "" });
+    first.runOnce();
+    first.report("w", report);
+    first.runOnce();
+    cell_driver second;
+    second.scheduler.restoreProgress("j", first.progress.at("j"));
+    begin(second, { { "j", record } });
+    for (const auto& start : second.take<start_action>())
+        BOOST_TEST(start.task.step == 1);
+}
+
+BOOST_AUTO_TEST_CASE(task_follows_the_numbers_of_attempts_that_a_worker_lists)
+{
+    cell_driver driver;
+    driver.scheduler.addJob("j", singleStepJob(1));
+    driver.scheduler.setWorker(workerRecord("w"), driver.now);
+    driver.scheduler.begin(driver.now, driver.now);
+    driver.runOnce();
+    worker_report report;
+    report.running.push_back({ { "j", 0, 0, 0 }, 4, "", 10, 0 });
+    driver.report("w", report);
+    driver.runOnce();
+    BOOST_TEST(driver.take<start_action>().empty());
+    driver.report("w", {});
+    driver.runOnce();
+    auto starts = driver.take<start_action>();
+    BOOST_REQUIRE(starts.size() == 1);
+    BOOST_TEST(starts[0].attempt == 5);
+}
+
+BOOST_AUTO_TEST_CASE(superseded_start_waits_for_the_workers_lists)
+{
+    cell_driver driver;
+    begin(driver, { { "j", singleStepJob(1) } });
+    auto starts = driver.take<start_action>();
+    BOOST_REQUIRE(starts.size() == 1);
+    addSecondWorker(driver);
+    driver.scheduler.onStarted(starts[0], order_outcome::superseded, driver.now);
+    for (int i = 0; i < 10; i++)
+        driver.runOnce();
+    BOOST_TEST(driver.take<start_action>().empty());
+    worker_report report;
+    report.completions.push_back({ 1, starts[0].task, 1, completion_kind::done, "" });
+    driver.report("w", report);
+    driver.runOnce();
+    BOOST_TEST((driver.scheduler.stateOf("j") == job_state::completed));
+}
+
+BOOST_AUTO_TEST_CASE(superseded_start_that_did_not_run_is_placed_again)
+{
+    cell_driver driver;
+    begin(driver, { { "j", singleStepJob(1) } });
+    auto starts = driver.take<start_action>();
+    BOOST_REQUIRE(starts.size() == 1);
+    driver.scheduler.onStarted(starts[0], order_outcome::superseded, driver.now);
+    driver.runOnce();
+    auto stops = driver.take<stop_action>();
+    BOOST_REQUIRE(stops.size() == 1);
+    driver.scheduler.onStopped(stops[0], order_outcome::done, driver.now);
+    driver.now += 200;
+    driver.report("w", {});
+    driver.runOnce();
+    BOOST_TEST(driver.take<start_action>().size() == 1);
+}
+
+BOOST_AUTO_TEST_CASE(late_answer_of_an_earlier_incarnation_ends_nothing_on_the_later_one)
+{
+    cell_driver driver;
+    begin(driver, { { "j", singleStepJob(1) } });
+    auto starts = driver.take<start_action>();
+    BOOST_REQUIRE(starts.size() == 1);
+    worker_record laterLife = workerRecord("w");
+    laterLife.startedUnixMs = laterLifeMs;
+    driver.scheduler.setWorker(laterLife, driver.now);
+    worker_report report;
+    report.startedUnixMs = laterLifeMs;
+    driver.report("w", report);
+    driver.scheduler.addJob("k", singleStepJob(1));
+    driver.runOnce();
+    driver.runOnce();
+    auto laterStarts = driver.take<start_action>();
+    BOOST_REQUIRE(laterStarts.size() == 1);
+    driver.scheduler.onStarted(laterStarts[0], order_outcome::done, driver.now);
+    addSecondWorker(driver);
+    driver.scheduler.onStarted(starts[0], order_outcome::other_incarnation, driver.now);
+    for (int i = 0; i < 10; i++)
+        driver.runOnce();
+    for (const auto& start : driver.take<start_action>())
+        BOOST_TEST(start.task.job == "j");
+}
+
+BOOST_AUTO_TEST_CASE(poll_after_a_failed_one_acknowledges_nothing)
+{
+    cell_driver driver;
+    begin(driver, { { "j", singleStepJob(1) } });
+    auto starts = driver.take<start_action>();
+    BOOST_REQUIRE(starts.size() == 1);
+    worker_report report;
+    report.completions.push_back({ 57, starts[0].task, 1, completion_kind::done, "" });
+    driver.report("w", report);
+    driver.runOnce();
+    driver.take<poll_action>();
+    driver.report("w", {});
+    driver.runOnce();
+    auto polls = driver.take<poll_action>();
+    BOOST_REQUIRE(polls.size() == 1);
+    BOOST_TEST(polls[0].acknowledgedSequence == 57);
+    driver.scheduler.onPollFailed(polls[0], order_outcome::no_answer, driver.now);
+    driver.now += 1'000;
+    driver.runOnce();
+    polls = driver.take<poll_action>();
+    BOOST_REQUIRE(polls.size() == 1);
+    BOOST_TEST(polls[0].acknowledgedSequence == 0);
+    driver.report("w", {});
+    driver.runOnce();
+    polls = driver.take<poll_action>();
+    BOOST_REQUIRE(polls.size() == 1);
+    BOOST_TEST(polls[0].acknowledgedSequence == 57);
+}
+
+BOOST_AUTO_TEST_CASE(worker_that_started_again_with_an_earlier_clock_is_not_used)
+{
+    cell_driver driver;
+    begin(driver, { { "j", singleStepJob(1) } });
+    auto starts = driver.take<start_action>();
+    BOOST_REQUIRE(starts.size() == 1);
+    worker_report report;
+    report.completions.push_back({ 57, starts[0].task, 1, completion_kind::done, "" });
+    driver.report("w", report);
+    driver.runOnce();
+    worker_report earlierClock;
+    earlierClock.startedUnixMs = workerRecord("w").startedUnixMs - 1;
+    driver.report("w", earlierClock);
+    driver.take<poll_action>();
+    driver.scheduler.addJob("k", singleStepJob(1));
+    driver.now += 300;
+    driver.runOnce();
+    driver.runOnce();
+    auto polls = driver.take<poll_action>();
+    BOOST_REQUIRE(polls.size() == 1);
+    BOOST_TEST(polls[0].acknowledgedSequence == 0);
+    BOOST_TEST(!polls[0].leaseUntilWorkerMs.has_value());
+    BOOST_TEST(driver.take<start_action>().empty());
+}
