--- a/tests/jobs/retention_test.cpp
+++ b/tests/jobs/retention_test.cpp
@@ -179,18 +179,19 @@
     driver.runOnce();
     BOOST_TEST(driver.take<forget_job_action>().empty());
     BOOST_TEST(!driver.scheduler.stateOf("j"));
+}
 
-    // An append without records is no append to the store: it only sets the producer's epoch.
-    BOOST_AUTO_TEST_CASE(nothing_is_written_when_a_record_was_read_just_before_the_job_is_dropped)
-    {
-        cell_driver driver;
-        finishJob(driver, "j");
-        auto requests = driver.take<forget_job_action>();
-        BOOST_REQUIRE(requests.size() == 1);
-        driver.scheduler.onJobRecordsDeleted(requests[0], driver.now);
-        driver.now += pastRetentionMs;
-        driver.scheduler.setJobLogReadUpTo(driver.now);
-        driver.scheduler.tick(driver.now, driver.now);
-        driver.scheduler.addJob("j", singleStepJob(1));
-        BOOST_TEST(!driver.scheduler.takeWrite(driver.now).has_value());
-    }
+// An append without records is no append to the store: it only sets the producer's epoch.
+BOOST_AUTO_TEST_CASE(nothing_is_written_when_a_record_was_read_just_before_the_job_is_dropped)
+{
+    cell_driver driver;
+    finishJob(driver, "j");
+    auto requests = driver.take<forget_job_action>();
+    BOOST_REQUIRE(requests.size() == 1);
+    driver.scheduler.onJobRecordsDeleted(requests[0], driver.now);
+    driver.now += pastRetentionMs;
+    driver.scheduler.setJobLogReadUpTo(driver.now);
+    driver.scheduler.tick(driver.now, driver.now);
+    driver.scheduler.addJob("j", singleStepJob(1));
+    BOOST_TEST(!driver.scheduler.takeWrite(driver.now).has_value());
+}
