Worlds: a job log that loses, repeats and deletes records

The worlds missed it: they ran 70 s with a retention of 120 s, passed each accepted job exactly once to each leader, and ignored requests to delete records.

Callers append to any partition and repeat submissions and cancels, also after the end and just before the retention is over; appends go unanswered and land up to 12 s late. Leaders read in pieces, with answers that take seconds, and read the newest records again after their position has expired. Tombstones go through job_tombstones as in the scheduler; their appends are refused, lost, not answered but done, or done late, and leaders fall while one is in flight. The retention is 1 to 6 s in four worlds of five. The last leader is replaced once more 20 s after the faults, so that it meets what the earlier ones left in the log.

Checks: a job may be unknown only from the retention after its end was shown. New: an accepted job is known to a leader that has read its record; an end that was shown is shown from then on; nothing starts after that end was shown, nor after a completion that is acknowledged later; no start by a leader that has read the cancel, at once instead of after 3 s; a job is failed or cancelled only for cause, at the moment it is shown. Narrowed: where reads of the log were slow or refused, the 3 s after a cancel count from their end; a leader that reads the cancel of a forgotten job shows it as running until its cancelled state is durable, then as cancelled.

--- a/tests/jobs/main.cpp
+++ b/tests/jobs/main.cpp
@@ -8,10 +8,11 @@
 int main(int argc, char** argv)
 {
     using namespace camphorwell::testing;
-    const option options[]
-        = { { "from", required_argument, nullptr, 'f' }, { "count", required_argument, nullptr, 'c' },
-              { "jobs", required_argument, nullptr, 'j' }, { "workers", required_argument, nullptr, 'w' },
-              { "trace", required_argument, nullptr, 't' }, { nullptr, 0, nullptr, 0 } };
+    using camphorwell::cell_fault;
+    const option options[] = { { "from", required_argument, nullptr, 'f' },
+        { "count", required_argument, nullptr, 'c' }, { "jobs", required_argument, nullptr, 'j' },
+        { "workers", required_argument, nullptr, 'w' }, { "trace", required_argument, nullptr, 't' },
+        { "fault", required_argument, nullptr, 'd' }, { nullptr, 0, nullptr, 0 } };
     uint64_t firstSeed = 1;
     uint64_t count = 100;
     world_settings settings;
@@ -34,21 +35,25 @@
         case 't':
             trace = optarg;
             break;
+        case 'd':
+            settings.fault = static_cast<cell_fault>(std::stoi(optarg));
+            break;
         default:
             std::cerr
                 << "usage: camphorwell-worlds [--from SEED] [--count N] [--jobs N] [--workers N]\n"
+                   "                          [--fault N]      injects a deliberate fault (cell_fault)\n"
                    "                          [--trace TEXT]   prints the log lines that contain TEXT\n";
             return 2;
         }
     }
     uint64_t failedWorlds = 0;
-    int takeovers = 0;
+    world_counts totals;
     for (uint64_t seed = firstSeed; seed < firstSeed + count; seed++) {
         settings.seed = seed;
         settings.workersCheckCapacity = seed % 3 != 0;
         world simulation(settings);
         auto violations = simulation.run();
-        takeovers += simulation.takeovers();
+        totals += simulation.counts();
         failedWorlds += !violations.empty();
         for (const auto& violation : violations)
             std::cout << "seed " << seed << ": " << violation << "\n";
@@ -57,7 +62,9 @@
                 std::cout << line << "\n";
         }
     }
-    std::cout << count << " worlds, " << takeovers << " takeovers, " << failedWorlds
-              << " with violated invariants\n";
+    std::cout << count << " worlds, " << totals.takeovers << " takeovers, " << totals.forgottenJobs
+              << " forgotten jobs, " << totals.repeatedSubmissions << " repeated submissions, "
+              << totals.lostPositions << " lost read positions, " << totals.unconfirmedTombstones
+              << " unconfirmed appends of tombstones, " << failedWorlds << " with violated invariants\n";
     return failedWorlds > 0;
 }
--- a/tests/jobs/world.cpp
+++ b/tests/jobs/world.cpp
@@ -13,26 +13,34 @@
     constexpr ms cancelDeadlineMs = 3000;
     // At the end of a world, a service task may be without a running attempt for at most this long.
     constexpr ms restartDeadlineMs = 2000;
-    constexpr int64_t unixOriginMs = 1'700'000'000'000;
+    // Time after the fault phase at which the last leader is replaced once more.
+    constexpr ms lastTakeoverMs = 20'000;
+    constexpr size_t logPartitions = 3;
     constexpr const char* quickQueue = "quick";
     constexpr const char* batchQueue = "batch";
 } // namespace
 
-struct world::leader_instance {
-    uint64_t token = 0;
-    ms renewedAt = 0;
-    bool alive = true;
-    bool storeReachable = true;
-    size_t nextLogEntry = 0; // Index into m_jobLog.
-    std::unique_ptr<cell> scheduler;
-    std::optional<write_batch> pendingWrite;
-};
+world_counts& world_counts::operator+=(const world_counts& other)
+{
+    takeovers += other.takeovers;
+    forgottenJobs += other.forgottenJobs;
+    repeatedSubmissions += other.repeatedSubmissions;
+    lostPositions += other.lostPositions;
+    unconfirmedTombstones += other.unconfirmedTombstones;
+    return *this;
+}
 
 world::world(world_settings settings)
     : m_settings(settings)
     , m_random(settings.seed)
+    , m_jobLog(logPartitions)
     , m_queues(std::make_shared<queue_table>())
 {
+    m_retentionMs = chance(0.2) ? cell_settings().finishedRetentionMs : randomInt(1000, 6000);
+    m_tombstonePeriodMs = randomInt(200, 2000);
+    m_tombstonesPerAppend = static_cast<size_t>(randomInt(1, 8));
+    m_itemsPerRead = static_cast<size_t>(randomInt(1, 20));
+    m_slowReads = chance(0.3) ? 0.2 : 0.02;
     (*m_queues)[quickQueue] = { quickQueue, "service", 0, 3, 1.5, 250, false, 0 };
     (*m_queues)[batchQueue] = { batchQueue, "service", 2, 3, 2.0, 1000, false, 0 };
     for (int i = 0; i < settings.workers; i++) {
@@ -64,7 +72,11 @@
 {
     return std::uniform_real_distribution<>(0, 1)(m_random) < probability;
 }
-void world::reportViolation(std::string description) { m_violations.push_back(std::move(description)); }
+void world::reportViolation(std::string description)
+{
+    if (m_reported.insert(description).second)
+        m_violations.push_back(std::move(description));
+}
 
 const step_spec* world::stepOf(const task_ref& task) const
 {
@@ -106,30 +118,29 @@
     return out;
 }
 
-void world::submit()
+bool world::reachesStore(const leader_instance& leader) const
 {
-    job_id id = "job" + std::to_string(m_jobs.size());
-    m_jobs[id] = { randomJob(), m_now, std::nullopt, false };
-    m_jobLog.emplace_back(id, false);
-    if (chance(0.15)) {
-        runAfter(randomInt(10, 6000), [this, id] {
-            m_jobs[id].cancelledAt = m_now;
-            m_jobLog.emplace_back(id, true);
-        });
-    }
+    return leader.storeReachable && m_now >= m_storeDownUntil;
+}
+
+bool world::leadsNow(const leader_instance& leader) const
+{
+    return leader.token == m_latestToken && reachesStore(leader);
 }
 
 void world::takeOver()
 {
-    m_takeovers++;
+    m_counts.takeovers++;
     m_latestToken++;
     auto leader = std::make_shared<leader_instance>();
     leader->token = m_latestToken;
     leader->renewedAt = m_now;
+    leader->cursors.resize(m_jobLog.partitions());
     cell_settings settings;
     settings.leaseMs = 5000;
     settings.priorGrantMs = grantWindowMs;
     settings.pollWaitMs = 200;
+    settings.finishedRetentionMs = m_retentionMs;
     settings.fault = m_settings.fault;
     leader->scheduler
         = std::make_unique<cell>(settings, m_queues, [this, token = m_latestToken](const log_line& line) {
@@ -139,27 +150,31 @@
     for (const auto& [id, bytes] : m_progress)
         leader->scheduler->restoreProgress(id, bytes);
     m_leaders.push_back(leader);
+    checkStates(*leader);
     // Reading the log takes time, during which the previous leader continues to run.
-    runAfter(randomInt(20, 300), [this, leader] {
-        if (!leader->alive)
-            return;
-        for (; leader->nextLogEntry < m_jobLog.size(); leader->nextLogEntry++) {
-            const auto& [id, cancels] = m_jobLog[leader->nextLogEntry];
-            if (cancels)
-                leader->scheduler->cancel(id);
-            else
-                leader->scheduler->addJob(id, m_jobs.at(id).record);
-        }
-        for (const auto& [id, worker] : m_workers) {
-            if (worker->up)
-                leader->scheduler->setWorker(worker->record, m_now);
-        }
-        leader->scheduler->begin(m_now, unixOriginMs + m_now);
-        tickLeader(leader);
-    });
+    leader->recoveryStepsLeft = static_cast<int>(m_jobLog.partitions());
+    for (size_t partition = 0; partition < m_jobLog.partitions(); partition++)
+        runAfter(randomInt(5, 100), [this, leader, partition] { recoverJobs(leader, partition); });
+}
+
+// Ends the leader and starts another after a pause.
+void world::replaceLeader(ms pause)
+{
+    m_leaders.back()->alive = false;
+    runAfter(pause, [this] { takeOver(); });
 }
 
-void world::tickLeader(const std::shared_ptr<leader_instance>& leader)
+void world::setWorkers(leader_instance& leader)
+{
+    for (const auto& [id, worker] : m_workers) {
+        if (worker->up)
+            leader.scheduler->setWorker(worker->record, m_now);
+        else
+            leader.scheduler->removeWorker(id, m_now);
+    }
+}
+
+void world::tickLeader(const leader_ptr& leader)
 {
     if (!leader->alive)
         return;
@@ -167,51 +182,19 @@
         leader->alive = false;
         return;
     }
-    bool canRenew = leader->token == m_latestToken && leader->storeReachable && m_now >= m_storeDownUntil;
-    if (canRenew) {
+    if (leadsNow(*leader)) {
         leader->renewedAt = m_now;
-        for (; leader->nextLogEntry < m_jobLog.size(); leader->nextLogEntry++) {
-            const auto& [id, cancels] = m_jobLog[leader->nextLogEntry];
-            if (cancels)
-                leader->scheduler->cancel(id);
-            else
-                leader->scheduler->addJob(id, m_jobs.at(id).record);
-        }
-        for (const auto& [id, worker] : m_workers) {
-            if (worker->up)
-                leader->scheduler->setWorker(worker->record, m_now);
-            else
-                leader->scheduler->removeWorker(id, m_now);
-        }
+        setWorkers(*leader);
     }
     leader->scheduler->setMayGrantLeases(m_now - leader->renewedAt <= grantWindowMs);
+    leader->scheduler->setJobLogReadUpTo(jobLogReadUpTo(*leader));
     leader->scheduler->tick(m_now, unixOriginMs + m_now);
     processActions(leader);
-    for (auto& [jobId, job] : m_jobs) {
-        const job_id& id = jobId;
-        auto state = leader->scheduler->stateOf(id);
-        if (!state || *state != job_state::completed || job.completionSeen)
-            continue;
-        job.completionSeen = true;
-        for (size_t step = 0; step < job.record.spec.steps.size(); step++) {
-            for (int index = 0; index < job.record.spec.steps[step].count; index++) {
-                bool gang = job.record.spec.steps[step].gang;
-                bool done
-                    = std::any_of(m_history.begin(), m_history.end(), [&](const observed_attempt& attempt) {
-                          return attempt.task.job == id && attempt.task.step == static_cast<int>(step)
-                              && (gang || attempt.task.index == index)
-                              && attempt.completion == completion_kind::done && attempt.endedAt;
-                      });
-                if (!done)
-                    reportViolation("reported completed before all tasks completed: " + id + " step "
-                        + std::to_string(step));
-            }
-        }
-    }
+    checkStates(*leader);
     runAfter(tickIntervalMs, [this, leader] { tickLeader(leader); });
 }
 
-void world::processActions(const std::shared_ptr<leader_instance>& leader)
+void world::processActions(const leader_ptr& leader)
 {
     for (const action& requested : leader->scheduler->takeActions())
         perform(leader, requested);
@@ -226,11 +209,11 @@
 
 // Retries an append until the store is reachable. An append under an outdated token is refused permanently,
 // which ends the leader.
-void world::append(const std::shared_ptr<leader_instance>& leader)
+void world::append(const leader_ptr& leader)
 {
     if (!leader->alive)
         return;
-    if (!leader->storeReachable || m_now < m_storeDownUntil) {
+    if (!reachesStore(*leader)) {
         runAfter(150, [this, leader] { append(leader); });
         return;
     }
@@ -239,21 +222,22 @@
         return;
     }
     for (const auto& update : leader->pendingWrite->records) {
-        if (update.bytes.empty())
-            m_progress.erase(update.job);
-        else
+        if (!update.bytes.empty())
             m_progress[update.job] = update.bytes;
+        else
+            m_counts.forgottenJobs += static_cast<int>(m_progress.erase(update.job));
     }
     runAfter(randomInt(1, 30), [this, leader] {
         if (!leader->alive)
             return;
         leader->pendingWrite.reset();
         leader->scheduler->onWritten(m_now);
+        checkStates(*leader);
         processActions(leader);
     });
 }
 
-void world::call(const std::shared_ptr<leader_instance>& leader, const worker_id& id,
+void world::call(const leader_ptr& leader, const worker_id& id,
     std::function<order_outcome(model_worker&)> order, std::function<void(order_outcome)> onAnswer)
 {
     model_worker& worker = *m_workers.at(id);
@@ -268,9 +252,8 @@
         reply(order_outcome::no_answer);
         processActions(leader);
     });
-    bool settling = m_now > m_start + m_settings.faultPhase;
-    bool delayed = !settling && chance(0.03);
-    bool answerLost = !settling && chance(0.02);
+    bool delayed = !settling() && chance(0.03);
+    bool answerLost = !settling() && chance(0.02);
     int64_t incarnation = worker.record.startedUnixMs;
     runAfter(delayed ? randomInt(2000, 12000) : randomInt(1, 8),
         [this, &worker, leader, order, reply, delayed, answerLost, incarnation] {
@@ -289,25 +272,25 @@
         });
 }
 
-void world::perform(const std::shared_ptr<leader_instance>& leader, const action& requested)
+void world::perform(const leader_ptr& leader, const action& requested)
 {
     if (const auto* order = std::get_if<start_action>(&requested)) {
         ms workMs = stepOf(order->task)->isService ? randomInt(8000, 60000) : randomInt(50, 2500);
         // Every attempt of a job whose ID ends in 7 fails, so these jobs cannot complete.
         bool fails = chance(0.05) || order->task.job.back() == '7';
         ms sentAt = m_now;
+        ms readUpTo = jobLogReadUpTo(*leader);
+        ms readsSlowUntil = leader->readsSlowUntil;
         call(
             leader, order->worker,
-            [this, leader, order = *order, workMs, fails, sentAt](model_worker& worker) {
+            [this, leader, order = *order, workMs, fails, sentAt, readUpTo, readsSlowUntil](
+                model_worker& worker) {
                 size_t earlierAttempts = m_history.size();
                 order_outcome outcome = worker.start(
                     order, fencingToken(leader->token, order.incarnation), m_now, workMs, fails);
                 if (m_history.size() > earlierAttempts) {
                     checkStart(order, *leader, earlierAttempts);
-                    const auto& job = m_jobs.at(order.task.job);
-                    if (job.cancelledAt && sentAt > *job.cancelledAt + cancelDeadlineMs
-                        && leader->token == m_latestToken && leader->storeReachable && m_now - sentAt < 1000)
-                        reportViolation("started after the job was cancelled: " + order.task.str());
+                    checkStartOfEndedJob(order, *leader, sentAt, readUpTo, readsSlowUntil);
                 }
                 return outcome;
             },
@@ -321,6 +304,8 @@
             },
             [this, leader, order = *order](
                 order_outcome outcome) { leader->scheduler->onStopped(order, outcome, m_now); });
+    } else if (const auto* request = std::get_if<forget_job_action>(&requested)) {
+        leader->tombstones.request(*request);
     } else if (const auto* order = std::get_if<poll_action>(&requested)) {
         auto report = std::make_shared<worker_report>();
         ms sentAt = m_now;
@@ -393,6 +378,95 @@
         reportViolation("started beyond the step's limit of tasks per worker: " + attemptName);
 }
 
+void world::checkStartOfEndedJob(
+    const start_action& order, const leader_instance& leader, ms sentAt, ms readUpTo, ms readsSlowUntil)
+{
+    const submitted_job& job = m_jobs.at(order.task.job);
+    if (job.end && sentAt > job.endSeenAt)
+        reportViolation("started after the job was shown as over: " + order.task.str());
+    if (!job.cancelledAt)
+        return;
+    bool mustKnow = sentAt > std::max(*job.cancelledAt, readsSlowUntil) + cancelDeadlineMs
+        && leader.token == m_latestToken && leader.storeReachable && m_now - sentAt < 1000;
+    if (mustKnow || readUpTo > *job.cancelledAt)
+        reportViolation("started after the job was cancelled: " + order.task.str());
+}
+
+bool world::hasDone(const job_id& id, int step, int index) const
+{
+    bool gang = m_jobs.at(id).record.spec.steps[static_cast<size_t>(step)].gang;
+    return std::any_of(m_history.begin(), m_history.end(), [&](const observed_attempt& attempt) {
+        return attempt.task.job == id && attempt.task.step == step && (gang || attempt.task.index == index)
+            && attempt.completion == completion_kind::done && attempt.endedAt;
+    });
+}
+
+int world::failuresOf(const job_id& id) const
+{
+    return static_cast<int>(
+        std::count_if(m_history.begin(), m_history.end(), [&](const observed_attempt& attempt) {
+            return attempt.task.job == id && attempt.endedAt && attempt.completion == completion_kind::failed;
+        }));
+}
+
+bool world::runs(const job_id& id) const
+{
+    return std::any_of(m_history.begin(), m_history.end(),
+        [&](const observed_attempt& attempt) { return attempt.task.job == id && !attempt.endedAt; });
+}
+
+bool world::mayBeForgotten(const submitted_job& job) const
+{
+    return job.end && m_now >= job.endSeenAt + m_retentionMs;
+}
+
+void world::checkStates(const leader_instance& leader)
+{
+    for (auto& [id, job] : m_jobs) {
+        auto state = leader.scheduler->stateOf(id);
+        bool over = state && *state >= job_state::completed;
+        if (over && !job.end) {
+            job.end = *state;
+            job.endSeenAt = m_now;
+            checkFirstEnd(id, job);
+            if (chance(0.2))
+                runAfter(m_retentionMs - randomInt(1, 100), [this, id = id] { sendSubmission(id); });
+        }
+        if (!leadsNow(leader) || leader.recoveryStepsLeft > 0)
+            continue;
+        if (!state) {
+            if (job.acceptedAt && jobLogReadUpTo(leader) > *job.acceptedAt && !mayBeForgotten(job))
+                reportViolation("accepted job is unknown: " + id);
+            continue;
+        }
+        // A cancel that is read when the job is forgotten makes it a cancelled one, running until that is
+        // durable.
+        bool cancelledLater = job.cancelledAt && mayBeForgotten(job)
+            && (*state == job_state::cancelled || *state == job_state::running);
+        if (job.end && *state != *job.end && !cancelledLater)
+            reportViolation("shown as " + std::string(toString(*job.end)) + " and later as "
+                + std::string(toString(*state)) + ": " + id);
+    }
+}
+
+void world::checkFirstEnd(const job_id& id, const submitted_job& job)
+{
+    const auto& steps = job.record.spec.steps;
+    if (*job.end == job_state::cancelled && !job.cancelledAt)
+        reportViolation("shown as cancelled without a cancel: " + id);
+    if (*job.end == job_state::failed && failuresOf(id) < m_queues->at(job.record.queue).maxAttempts)
+        reportViolation("failed before the maximum number of attempts: " + id);
+    if (*job.end != job_state::completed)
+        return;
+    for (int step = 0; step < static_cast<int>(steps.size()); step++) {
+        for (int index = 0; index < steps[static_cast<size_t>(step)].count; index++) {
+            if (!hasDone(id, step, index))
+                reportViolation(
+                    "reported completed before all tasks completed: " + id + " step " + std::to_string(step));
+        }
+    }
+}
+
 void world::injectFault()
 {
     auto randomWorker = [this] {
@@ -400,7 +474,7 @@
         std::advance(chosen, randomInt(0, static_cast<ms>(m_workers.size()) - 1));
         return chosen->second.get();
     };
-    switch (randomInt(0, 5)) {
+    switch (randomInt(0, 8)) {
     case 0: { // A worker crashes and restarts as a new incarnation.
         model_worker* worker = randomWorker();
         if (!worker->up)
@@ -416,8 +490,7 @@
         break;
     }
     case 2: // The leader crashes and is replaced.
-        m_leaders.back()->alive = false;
-        runAfter(randomInt(50, 3000), [this] { takeOver(); });
+        replaceLeader(randomInt(50, 3000));
         break;
     case 3: // The leader loses the store, continues to run and is replaced.
         m_leaders.back()->storeReachable = false;
@@ -438,6 +511,16 @@
         });
         break;
     }
+    case 6: // The records of the job log expire, the next ones as soon as they are appended.
+        m_jobLog.expire();
+        m_expireNextRecord = true;
+        break;
+    case 7: // The store serves no reads of the job log.
+        m_readsDownUntil = m_now + randomInt(500, 6000);
+        break;
+    case 8: // The store refuses the leader's appends to the job log.
+        m_tombstonesRefusedUntil = m_now + randomInt(1000, 10000);
+        break;
     }
 }
 
@@ -453,6 +536,8 @@
         for (auto& [id, worker] : m_workers)
             worker->reachable = true;
     });
+    // The last leader reads what the earlier ones have left in the log.
+    runAfter(faultsEnd + lastTakeoverMs, [this] { replaceLeader(50); });
     ms endAt = m_start + m_settings.faultPhase + m_settings.settlePhase;
     ms advancedTo = 0;
     while (!m_events.empty() && m_events.top().dueAt <= endAt) {
@@ -473,6 +558,7 @@
 // After the settle phase, every job has finished or, for service tasks, is running.
 void world::checkFinalState()
 {
+    checkNothingRanAfterItsEnd();
     const leader_instance& leader = *m_leaders.back();
     if (!leader.alive) {
         reportViolation("no leader at the end");
@@ -481,15 +567,16 @@
     for (const auto& [jobId, job] : m_jobs) {
         const job_id& id = jobId;
         auto state = leader.scheduler->stateOf(id);
-        if (!state) {
-            reportViolation("job unknown to the last leader: " + id);
-            continue;
-        }
         const auto& steps = job.record.spec.steps;
-        if (job.cancelledAt) {
-            bool running = std::any_of(m_history.begin(), m_history.end(),
-                [&](const observed_attempt& attempt) { return attempt.task.job == id && !attempt.endedAt; });
-            if (running)
+        if (!job.acceptedAt)
+            reportViolation("submission is not in the job log: " + id);
+        if (!state && !mayBeForgotten(job)) {
+            reportViolation("job unknown to the last leader: " + id);
+        } else if (!state) {
+            if (runs(id))
+                reportViolation("forgotten job still runs: " + id);
+        } else if (job.cancelledAt) {
+            if (runs(id))
                 reportViolation("cancelled job still runs: " + id);
         } else if (steps[0].isService) {
             for (int index = 0; index < steps[0].count; index++) {
@@ -503,13 +590,28 @@
             }
         } else if (*state != job_state::completed && *state != job_state::failed) {
             reportViolation("job not finished: " + id + " is " + std::string(toString(*state)));
-        } else if (*state == job_state::failed) {
-            int failures = 0;
-            for (const observed_attempt& attempt : m_history)
-                failures += attempt.task.job == id && attempt.endedAt
-                    && attempt.completion == completion_kind::failed;
-            if (failures < m_queues->at(job.record.queue).maxAttempts)
-                reportViolation("failed before the maximum number of attempts: " + id);
+        }
+    }
+}
+
+// The same as in checkStart, for ends that are acknowledged only after the later start.
+void world::checkNothingRanAfterItsEnd()
+{
+    std::map<task_ref, std::vector<const observed_attempt*>> attempts;
+    for (const observed_attempt& attempt : m_history)
+        attempts[attempt.task].push_back(&attempt);
+    for (const auto& [task, ofTask] : attempts) {
+        if (stepOf(task)->isService)
+            continue;
+        for (const observed_attempt* ended : ofTask) {
+            if (!ended->endedAt || ended->completion != completion_kind::done
+                || !ended->completionAcknowledged || ended->lapsedBeforeAck)
+                continue;
+            for (const observed_attempt* other : ofTask) {
+                if (other != ended && other->startedAt >= *ended->endedAt)
+                    reportViolation("started after an end that was acknowledged: " + task.str() + " attempt "
+                        + std::to_string(other->attempt));
+            }
         }
     }
 }
--- a/tests/jobs/world.h
+++ b/tests/jobs/world.h
@@ -1,10 +1,17 @@
 // Randomised simulation of one cell in virtual time. Leaders crash or lose the store and are replaced,
 // workers crash, drain, lose the network or answer late, orders are lost or delivered seconds late, answers
-// are lost, and appends of a replaced leader are refused. Invariants are checked only against what the
-// workers ran and the job states that callers can see.
+// are lost, and appends of a replaced leader are refused. Callers repeat submissions and cancels at other
+// instances, tombstones of finished jobs are refused, lost or appended late, leaders read the job log in
+// pieces, late, or from its newest records, and finished jobs are forgotten. Invariants are checked only
+// against what the workers ran and the job states that callers can see.
+//
+// world.cpp          time, faults, leaders, orders to workers, checks
+// world_job_log.cpp  callers, the job log, its readers and its tombstones
 #pragma once
 
+#include "scheduler/process/job_tombstones.h"
 #include "standins/fleet_models.h"
+#include "tests/jobs/keyed_log.h"
 
 #include <queue>
 
@@ -23,6 +30,16 @@
     cell_fault fault = cell_fault::none;
 };
 
+// What happened in a world.
+struct world_counts {
+    int takeovers = 0; // Leaders started, including the first.
+    int forgottenJobs = 0; // Deleted progress records of finished jobs.
+    int repeatedSubmissions = 0; // Records appended for jobs that had one.
+    int lostPositions = 0; // Reads at positions whose records had expired.
+    int unconfirmedTombstones = 0; // Appends of tombstones that were refused or not answered.
+    world_counts& operator+=(const world_counts&);
+};
+
 class world {
 public:
     explicit world(world_settings);
@@ -31,11 +48,19 @@
     std::vector<std::string> run();
     // Log lines of all leaders, each with the time and the leader's token.
     std::vector<std::string> log() const { return m_log; }
-    // Number of leaders started, including the first.
-    int takeovers() const { return m_takeovers; }
+    const world_counts& counts() const { return m_counts; }
 
 private:
+    static constexpr int64_t unixOriginMs = 1'700'000'000'000; // Unix time at the virtual time 0.
+
     struct leader_instance;
+    using leader_ptr = std::shared_ptr<leader_instance>;
+    struct newest_read {
+        std::vector<keyed_log::item> items;
+        std::optional<uint64_t> end; // End of the partition at the first page.
+        ms sentAt = 0;
+    };
+    using on_newest = std::function<void(const newest_read&)>;
     struct event {
         ms dueAt = 0;
         uint64_t sequence = 0;
@@ -47,30 +72,78 @@
     };
     struct submitted_job {
         job_record record;
-        ms acceptedAt = 0;
-        std::optional<ms> cancelledAt;
-        bool completionSeen = false;
+        std::optional<ms> acceptedAt; // When its first record was appended.
+        std::optional<ms> cancelledAt; // When its first cancel was appended.
+        std::optional<job_state> end; // The first terminal state that a leader showed.
+        ms endSeenAt = 0;
     };
 
     void runAfter(ms delay, std::function<void()>);
     ms randomInt(ms low, ms high);
     bool chance(double probability);
+    bool settling() const { return m_now > m_start + m_settings.faultPhase; }
+    bool reachesStore(const leader_instance&) const;
+    bool readsJobLog(const leader_instance&) const;
+    // Whether the leader is the newest and has renewed its claim at this moment.
+    bool leadsNow(const leader_instance&) const;
     job_record randomJob();
-    void submit();
     void takeOver();
-    void tickLeader(const std::shared_ptr<leader_instance>&);
-    void processActions(const std::shared_ptr<leader_instance>&);
-    void append(const std::shared_ptr<leader_instance>&);
-    void perform(const std::shared_ptr<leader_instance>&, const action&);
+    void replaceLeader(ms pause);
+    void setWorkers(leader_instance&);
+    void tickLeader(const leader_ptr&);
+    void processActions(const leader_ptr&);
+    void append(const leader_ptr&);
+    void perform(const leader_ptr&, const action&);
     // Runs an order on the worker and delivers its answer to the leader. During the fault phase orders may be
     // delayed and answers lost; `onAnswer` then gets no_answer after a timeout.
-    void call(const std::shared_ptr<leader_instance>&, const worker_id&,
-        std::function<order_outcome(model_worker&)> order, std::function<void(order_outcome)> onAnswer);
+    void call(const leader_ptr&, const worker_id&, std::function<order_outcome(model_worker&)> order,
+        std::function<void(order_outcome)> onAnswer);
     void injectFault();
+
+    // world_job_log.cpp
+    void submit();
+    // Sends the record to any instance, and again until it is confirmed, at times also after that.
+    void sendSubmission(const job_id&);
+    void sendCancel(const job_id&);
+    // Calls the function when the append lands in the log. Returns whether the caller hears of it.
+    bool sendToLog(std::function<void(size_t partition)> land);
+    void landSubmission(const job_id&, size_t partition);
+    void landCancel(const job_id&, size_t partition);
+    // Reads the newest records page by page, while the log goes on.
+    void readNewest(const leader_ptr&, size_t partition, on_newest done);
+    void readNextPage(
+        const leader_ptr&, size_t partition, const std::shared_ptr<newest_read>&, on_newest done);
+    void recoverJobs(const leader_ptr&, size_t partition);
+    void onRecoveryStepDone(const leader_ptr&);
+    void followJobs(const leader_ptr&, size_t partition);
+    void requestItems(const leader_ptr&, size_t partition, ms sentAt);
+    void receiveItems(const leader_ptr&, size_t partition, ms sentAt, const keyed_log::read_result&);
+    void readAgain(const leader_ptr&, size_t partition);
+    void applyJobRecord(leader_instance&, size_t partition, const keyed_log::item&);
+    void appendTombstones(const leader_ptr&, int partition);
+    void landTombstones(const job_tombstones::batch&);
+    void onTombstonesAppended(const leader_ptr&, const job_tombstones::batch&, bool durable);
+    static ms jobLogReadUpTo(const leader_instance&);
+    // Duration of a read's answer. During the fault phase some answers take seconds.
+    ms readAnswerMs(leader_instance&);
+
+    // Compares the job states that the leader shows with what ran and with the states shown before.
+    void checkStates(const leader_instance&);
+    void checkFirstEnd(const job_id&, const submitted_job&);
+    // The job's state may be unknown: it was shown as over at least the retention ago.
+    bool mayBeForgotten(const submitted_job&) const;
+    bool hasDone(const job_id&, int step, int index) const;
+    int failuresOf(const job_id&) const;
+    bool runs(const job_id&) const;
     // Checks the invariants of a start that a worker has carried out. `earlierAttempts` is the length of
     // m_history before it.
     void checkStart(const start_action&, const leader_instance&, size_t earlierAttempts);
+    // Checks an order that has started an attempt against the job's cancel and end. `sentAt` is the time of
+    // the order, `readUpTo` and `readsSlowUntil` are the leader's at that time.
+    void checkStartOfEndedJob(
+        const start_action&, const leader_instance&, ms sentAt, ms readUpTo, ms readsSlowUntil);
     void checkFinalState();
+    void checkNothingRanAfterItsEnd();
     void reportViolation(std::string);
     const step_spec* stepOf(const task_ref&) const;
 
@@ -83,15 +156,44 @@
     std::map<worker_id, std::unique_ptr<model_worker>> m_workers;
     std::vector<observed_attempt> m_history;
     std::map<job_id, submitted_job> m_jobs;
-    std::vector<std::pair<job_id, bool>> m_jobLog; // Accepted jobs and, with `true`, cancellations, in order.
+    keyed_log m_jobLog;
+    bool m_expireNextRecord = false;
+    ms m_retentionMs = 0;
+    ms m_tombstonePeriodMs = 0;
+    size_t m_itemsPerRead = 0;
+    double m_slowReads = 0; // Share of the reads whose answer takes seconds.
+    ms m_readsDownUntil = 0;
+    ms m_tombstonesRefusedUntil = 0;
+    size_t m_tombstonesPerAppend = 0;
     std::map<job_id, std::string> m_progress;
     uint64_t m_latestToken = 0;
     ms m_storeDownUntil = 0;
-    std::vector<std::shared_ptr<leader_instance>> m_leaders;
+    std::vector<leader_ptr> m_leaders;
     std::shared_ptr<queue_table> m_queues;
     std::vector<std::string> m_violations;
+    std::set<std::string> m_reported; // The texts in `m_violations`.
     std::vector<std::string> m_log;
-    int m_takeovers = 0;
+    world_counts m_counts;
+};
+
+struct world::leader_instance {
+    // Read position in one partition of the job log.
+    struct log_cursor {
+        uint64_t nextOffset = 0;
+        ms readUpTo = 0; // Every record appended before this time has been read.
+    };
+
+    uint64_t token = 0;
+    ms renewedAt = 0;
+    bool alive = true;
+    bool storeReachable = true;
+    std::vector<log_cursor> cursors;
+    job_tombstones tombstones;
+    int recoveryStepsLeft = 0;
+    std::vector<std::pair<size_t, keyed_log::item>> recoveredJobs; // Each with its partition.
+    ms readsSlowUntil = 0; // End of the last answer to a read that took seconds.
+    std::unique_ptr<cell> scheduler;
+    std::optional<write_batch> pendingWrite;
 };
 
 } // namespace camphorwell::testing
