--- a/src/jobs/process/cell.cpp
+++ b/src/jobs/process/cell.cpp
@@ -173,15 +173,23 @@
 
 void cell_model::requestDeletion(job_run& job)
 {
-    if (job.recordsRead != job.recordsDeleted)
-        actions.push_back(forget_job_action { job.id, job.recordsRead });
+    if (job.recordsRead == job.recordsDeleted)
+        return;
+    actions.push_back(forget_job_action { job.id, job.recordsRead });
+    if (hasFault(cell_fault::forget_unconfirmed))
+        job.recordsDeleted = job.recordsRead;
+}
+
+bool cell_model::recordsRemain(const job_run& job) const
+{
+    return job.recordsRead != job.recordsDeleted && !hasFault(cell_fault::forget_by_clock);
 }
 
 // Starts the retention of a durably finished job once no record of it remains in the job log. A new leader
 // would run a job of which it finds a record but no progress.
 void cell_model::retain(job_run& job)
 {
-    if (!job.isDurablyOver() || job.recordsRead != job.recordsDeleted)
+    if (!job.isDurablyOver() || recordsRemain(job))
         return;
     job.retainedSince = now;
     finishedJobs.emplace_back(now, job.id);
@@ -189,16 +197,21 @@
 
 // The retention is measured by what has been read of the job log, so that a repeated submission that was
 // appended during the retention is still recognised.
+ms cell_model::retentionClock() const
+{
+    bool ignoresLog = hasFault(cell_fault::forget_by_clock) || hasFault(cell_fault::forget_unread);
+    return ignoresLog ? now : jobLogReadUpTo;
+}
+
 bool cell_model::retentionIsOver(const job_run& job) const
 {
-    return job.recordsRead == job.recordsDeleted
-        && job.retainedSince + settings.finishedRetentionMs < jobLogReadUpTo;
+    return !recordsRemain(job) && job.retainedSince + settings.finishedRetentionMs < retentionClock();
 }
 
 void cell_model::dropOldJobs()
 {
-    while (
-        !finishedJobs.empty() && finishedJobs.front().first + settings.finishedRetentionMs < jobLogReadUpTo) {
+    while (!finishedJobs.empty()
+        && finishedJobs.front().first + settings.finishedRetentionMs < retentionClock()) {
         jobsToDrop.push_back(finishedJobs.front().second);
         finishedJobs.pop_front();
     }
@@ -227,6 +240,8 @@
         slot->id = id;
     }
     job_run& job = *slot;
+    if (job.isDurablyOver() && hasFault(cell_fault::keep_repeated_records))
+        return;
     job.recordsRead++;
     if (job.isOver())
         log(log_line("record_of_ended_job").add("id", id).add("state", toString(job.state)));
--- a/src/jobs/process/cell_model.h
+++ b/src/jobs/process/cell_model.h
@@ -353,6 +353,8 @@
     void markDirty(job_run&);
     void retain(job_run&);
     void requestDeletion(job_run&);
+    bool recordsRemain(const job_run&) const;
+    ms retentionClock() const;
     bool retentionIsOver(const job_run&) const;
     void dropOldJobs();
     step_run* findStep(const task_ref&);
--- a/tests/jobs/jobs_test.cpp
+++ b/tests/jobs/jobs_test.cpp
@@ -783,10 +783,12 @@
 // Shows that the invariants can fail: each deliberate fault must violate one in at least one world.
 BOOST_AUTO_TEST_CASE(deliberate_faults_are_caught)
 {
-    for (auto fault : { cell_fault::acknowledge_early, cell_fault::start_without_record,
-             cell_fault::drop_silent_workers, cell_fault::forget_restored,
-             cell_fault::restart_unanswered_starts, cell_fault::ignore_order, cell_fault::ignore_attempts,
-             cell_fault::early_occurrences, cell_fault::reserve_nothing, cell_fault::ignore_cancels }) {
+    for (auto fault :
+        { cell_fault::acknowledge_early, cell_fault::start_without_record, cell_fault::drop_silent_workers,
+            cell_fault::forget_restored, cell_fault::restart_unanswered_starts, cell_fault::ignore_order,
+            cell_fault::ignore_attempts, cell_fault::early_occurrences, cell_fault::reserve_nothing,
+            cell_fault::ignore_cancels, cell_fault::forget_by_clock, cell_fault::keep_repeated_records,
+            cell_fault::forget_unconfirmed, cell_fault::forget_unread }) {
         bool caught = false;
         for (uint64_t seed = 1; seed <= 60 && !caught; seed++)
             caught = !runWorld(seed, fault).empty();
