Worker model: a capacity excess counts for the start that causes it

Cause: overCapacity was never reset. What is checked stays: the start that exceeds the capacity is still reported, since the check follows it at once.

Evidence: capacity_excess_is_not_reported_for_later_starts failed before. deliberate_faults_are_caught finds reserve_nothing as before.

--- a/standins/fleet_models.cpp
+++ b/standins/fleet_models.cpp
@@ -82,7 +82,7 @@
     bool fits = demand.fits(record.capacity - used());
     if (!fits && m_enforcesCapacity)
         return order_outcome::no_capacity;
-    overCapacity |= !fits;
+    overCapacity = !fits;
     m_history.push_back(
         { order.task, order.attempt, record.id, now, std::nullopt, completion_kind::stopped, false, false });
     m_running.push_back({ m_history.size() - 1, *spec, now + duration, fails });
--- a/standins/fleet_models.h
+++ b/standins/fleet_models.h
@@ -77,7 +77,7 @@
 public:
     // Returns the step of a task, which holds its resource demand. Must be set before the first start.
     std::function<const step_spec*(const task_ref&)> specOf;
-    bool overCapacity = false;
+    bool overCapacity = false; // The last start that was accepted exceeded the capacity.
 };
 
 } // namespace camphorwell::fleet
--- a/tests/jobs/jobs_test.cpp
+++ b/tests/jobs/jobs_test.cpp
@@ -771,6 +771,26 @@
     BOOST_TEST(unreadable.coefficient(unreadable.internImage("f"), unreadable.internImage("s")) == 0.5);
 }
 
+BOOST_AUTO_TEST_CASE(capacity_excess_is_not_reported_for_later_starts)
+{
+    std::vector<fleet::observed_attempt> history;
+    worker_record record = workerRecord("w");
+    fleet::model_worker worker(record, false, 1, history);
+    step_spec step;
+    worker.specOf = [&step](const task_ref&) { return &step; };
+    auto start = [&](const job_id& id, int64_t cpuMilli) {
+        step.cpuMilli = cpuMilli;
+        start_action order { record.id, { id, 0, 0, 0 }, 1, nullptr, "", "", 5000, 0 };
+        BOOST_TEST((worker.start(order, 1, 0, 100, false) == order_outcome::done));
+        return order;
+    };
+    auto excessive = start("j1", record.capacity.cpuMilli + 1);
+    BOOST_TEST(worker.overCapacity);
+    worker.stop({ record.id, excessive.task, excessive.attempt, 0 }, 1, 0);
+    start("j2", record.capacity.cpuMilli);
+    BOOST_TEST(!worker.overCapacity);
+}
+
 BOOST_AUTO_TEST_CASE(random_worlds_violate_no_invariant)
 {
     for (uint64_t seed = 1; seed <= 60; seed++) {
