--- a/tests/sim/world.cpp
+++ b/tests/sim/world.cpp
@@ -15,6 +15,9 @@
     constexpr int64_t listIntervalMs = 500;
     constexpr int64_t listLagMs = 1500;
     constexpr int64_t callTimeoutMs = 1000;
+    // Time from the durability of an append to its answer.
+    constexpr int64_t minAppendAnswerUs = 500;
+    constexpr int64_t maxAppendAnswerUs = 3000;
     constexpr int64_t retentionMs = 60'000;
     constexpr double maxDrift = 0.015; // Largest relative error of a clock's rate.
 
@@ -407,7 +410,7 @@
             m_log.append(m_now, act.stream, act.records);
             m_report.appends++;
             if (!loseAnswer)
-                deliverLater(name, epoch, uniform(500, m_options.maxShortTaskMs),
+                deliverLater(name, epoch, uniform(minAppendAnswerUs, maxAppendAnswerUs),
                     append_reply { act.call, append_status::durable });
         });
     }
