--- a/src/jobs/process/cell.cpp
+++ b/src/jobs/process/cell.cpp
@@ -182,6 +182,8 @@
 // Counts a record of the job in the job log. One that is read after the job's end is deleted as well.
 void cell_model::countRecord(job_run& job)
 {
+    if (job.isDurablyOver() && hasFault(cell_fault::keep_repeated_records))
+        return;
     job.recordsRead++;
     if (job.isDurablyOver())
         requestDeletion(job);
@@ -189,15 +191,23 @@
 
 void cell_model::requestDeletion(job_run& job)
 {
-    if (job.recordsRead != job.recordsDeleted && !job.progressUnreadable)
-        actions.push_back(forget_job_action { job.id, job.recordsRead });
+    if (job.recordsRead == job.recordsDeleted || job.progressUnreadable)
+        return;
+    actions.push_back(forget_job_action { job.id, job.recordsRead });
+    if (hasFault(cell_fault::forget_unconfirmed))
+        job.recordsDeleted = job.recordsRead;
+}
+
+bool cell_model::recordsRemain(const job_run& job) const
+{
+    return job.recordsRead != job.recordsDeleted && !hasFault(cell_fault::forget_by_clock);
 }
 
 // Starts the retention of a durably finished job once no record of it remains in the job log. A new leader
 // would run a job of which it finds a record but no progress.
 void cell_model::retain(job_run& job)
 {
-    if (!job.isDurablyOver() || job.recordsRead != job.recordsDeleted)
+    if (!job.isDurablyOver() || recordsRemain(job))
         return;
     job.retainedSince = now;
     finishedJobs.emplace_back(now, job.id);
@@ -205,16 +215,21 @@
 
 // The retention is measured by what has been read of the job log, so that a repeated submission that was
 // appended during the retention is still recognised.
+ms cell_model::retentionClock() const
+{
+    bool ignoresLog = hasFault(cell_fault::forget_by_clock) || hasFault(cell_fault::forget_unread);
+    return ignoresLog ? now : jobLogReadUpTo;
+}
+
 bool cell_model::retentionIsOver(const job_run& job) const
 {
-    return job.recordsRead == job.recordsDeleted
-        && job.retainedSince + settings.finishedRetentionMs < jobLogReadUpTo;
+    return !recordsRemain(job) && job.retainedSince + settings.finishedRetentionMs < retentionClock();
 }
 
 void cell_model::dropOldJobs()
 {
-    while (
-        !finishedJobs.empty() && finishedJobs.front().first + settings.finishedRetentionMs < jobLogReadUpTo) {
+    while (!finishedJobs.empty()
+        && finishedJobs.front().first + settings.finishedRetentionMs < retentionClock()) {
         jobsToDrop.push_back(finishedJobs.front().second);
         finishedJobs.pop_front();
     }
--- a/tests/jobs/jobs_test.cpp
+++ b/tests/jobs/jobs_test.cpp
@@ -771,6 +771,26 @@
     BOOST_TEST(unreadable.coefficient(unreadable.internImage("f"), unreadable.internImage("s")) == 0.5);
 }
 
+BOOST_AUTO_TEST_CASE(capacity_excess_is_not_reported_for_later_starts)
+{
+    std::vector<fleet::observed_attempt> history;
+    worker_record record = workerRecord("w");
+    fleet::model_worker worker(record, false, 1, history);
+    step_spec step;
+    worker.specOf = [&step](const task_ref&) { return &step; };
+    auto start = [&](const job_id& id, int64_t cpuMilli) {
+        step.cpuMilli = cpuMilli;
+        start_action order { record.id, { id, 0, 0, 0 }, 1, nullptr, "", "", 5000, 0 };
+        BOOST_TEST((worker.start(order, 1, 0, 100, false) == order_outcome::done));
+        return order;
+    };
+    auto excessive = start("j1", record.capacity.cpuMilli + 1);
+    BOOST_TEST(worker.overCapacity);
+    worker.stop({ record.id, excessive.task, excessive.attempt, 0 }, 1, 0);
+    start("j2", record.capacity.cpuMilli);
+    BOOST_TEST(!worker.overCapacity);
+}
+
 BOOST_AUTO_TEST_CASE(random_worlds_violate_no_invariant)
 {
     for (uint64_t seed = 1; seed <= 60; seed++) {
@@ -783,10 +803,12 @@
 // Shows that the invariants can fail: each deliberate fault must violate one in at least one world.
 BOOST_AUTO_TEST_CASE(deliberate_faults_are_caught)
 {
-    for (auto fault : { cell_fault::acknowledge_early, cell_fault::start_without_record,
-             cell_fault::drop_silent_workers, cell_fault::forget_restored,
-             cell_fault::restart_unanswered_starts, cell_fault::ignore_order, cell_fault::ignore_attempts,
-             cell_fault::early_occurrences, cell_fault::reserve_nothing, cell_fault::ignore_cancels }) {
+    for (auto fault :
+        { cell_fault::acknowledge_early, cell_fault::start_without_record, cell_fault::drop_silent_workers,
+            cell_fault::forget_restored, cell_fault::restart_unanswered_starts, cell_fault::ignore_order,
+            cell_fault::ignore_attempts, cell_fault::early_occurrences, cell_fault::reserve_nothing,
+            cell_fault::ignore_cancels, cell_fault::forget_by_clock, cell_fault::keep_repeated_records,
+            cell_fault::forget_unconfirmed, cell_fault::forget_unread }) {
         bool caught = false;
         for (uint64_t seed = 1; seed <= 60 && !caught; seed++)
             caught = !runWorld(seed, fault).empty();
