A completion that cannot be read counts towards a full list

What callers would see: a task that ended `done` while the store was down is started again by the next leader.

Cause: a worker lists 500 completions at a time, and an attempt that a full list lacks may be on the next one. The length was taken after rows with an unreadable name or kind had been left out, so one such row made a full list look like the last one, and the attempts of an earlier leader that it lacked counted as ended.

Evidence: without the change to the cell `attempt_is_not_absent_from_a_full_list_with_an_unreadable_row` fails: the task is started, and its end on the next list is not taken.

--- a/src/jobs/jobs.h
+++ b/src/jobs/jobs.h
@@ -157,6 +157,8 @@
     int64_t startedUnixMs = 0;
     std::vector<running_task> running;
     std::vector<task_completion> completions; // Those that have not been acknowledged.
+    // Number of completions that the worker listed, including those that could not be read.
+    size_t listedCompletions = 0;
 };
 
 // Result of a call to a worker. Except after `done`, `superseded` and `no_answer` the order was not carried
--- a/src/jobs/process/cell_workers.cpp
+++ b/src/jobs/process/cell_workers.cpp
@@ -300,7 +300,8 @@
     worker.listedAttempts = 0;
     for (const running_task& running : report.running)
         handleListed(worker, running);
-    if (worker.listedAttempts < worker.placements.size() && report.completions.size() < maxListedCompletions)
+    size_t listedCompletions = std::max(report.listedCompletions, report.completions.size());
+    if (worker.listedAttempts < worker.placements.size() && listedCompletions < maxListedCompletions)
         handleUnlisted(worker, sentAt);
     pollWorker(worker);
 }
--- a/tests/jobs/restart_test.cpp
+++ b/tests/jobs/restart_test.cpp
@@ -248,3 +248,28 @@
     BOOST_TEST(!polls[0].leaseUntilWorkerMs.has_value());
     BOOST_TEST(driver.take<start_action>().empty());
 }
+
+BOOST_AUTO_TEST_CASE(attempt_is_not_absent_from_a_full_list_with_an_unreadable_row)
+{
+    constexpr size_t listLimit = 500;
+    cell_driver first;
+    begin(first, { { "j", singleStepJob(1) } });
+    cell_driver driver;
+    driver.scheduler.restoreProgress("j", first.progress.at("j"));
+    driver.scheduler.addJob("j", singleStepJob(1));
+    driver.scheduler.setWorker(workerRecord("w"), driver.now);
+    driver.scheduler.begin(driver.now, driver.now);
+    driver.runOnce();
+    worker_report report;
+    for (size_t i = 1; i < listLimit; i++)
+        report.completions.push_back({ i, { "other", 0, 0, 0 }, 1, completion_kind::done, "" });
+    report.listedCompletions = listLimit;
+    driver.report("w", report);
+    driver.runOnce();
+    BOOST_TEST(driver.take<start_action>().empty());
+    worker_report rest;
+    rest.completions.push_back({ listLimit + 1, { "j", 0, 0, 0 }, 1, completion_kind::done, "" });
+    driver.report("w", rest);
+    driver.runOnce();
+    BOOST_TEST((driver.scheduler.stateOf("j") == job_state::completed));
+}
--- a/tests/platform/platform_test.cpp
+++ b/tests/platform/platform_test.cpp
@@ -79,6 +79,16 @@
     BOOST_TEST(reader.read(R"({"ClockMs":1})")->running.empty());
 }
 
+BOOST_AUTO_TEST_CASE(completions_that_cannot_be_read_count_as_listed)
+{
+    platform::report_reader reader;
+    auto read = reader.read(R"({"ClockMs":1,"Finished":[[1,"a.0.0.0",1,"done",""],[2,"a.0.0.1",1,"lost",""],
+        [3,"a",1,"done",""]]})");
+    BOOST_REQUIRE(read);
+    BOOST_TEST(read->completions.size() == 1);
+    BOOST_TEST(read->listedCompletions == 3);
+}
+
 // A report with a value of a wrong type is rejected as a whole: if the rest of it were used, tasks that could
 // not be read would count as gone from the worker.
 BOOST_AUTO_TEST_CASE(malformed_reports_are_rejected)
