--- a/src/jobs/process/cell.h
+++ b/src/jobs/process/cell.h
@@ -90,6 +90,9 @@
     // added.
     void addJob(const job_id&, const job_record&);
     void cancel(const job_id&);
+    // An entry of the job log that this version cannot read. It is left to later versions unless its job is
+    // over.
+    void addUnreadableRecord(const job_id&);
     // The deletion that the action requested is durable.
     void onJobRecordsDeleted(const forget_job_action&, ms now);
     // Every entry that was appended to the job log before this time has been passed to this cell.
@@ -100,6 +103,9 @@
     void setSettings(const cell_settings&);
     void setWorker(const worker_record&, ms now);
     void removeWorker(const worker_id&, ms now);
+    std::vector<worker_id> listedWorkers() const;
+    // HOST:PORT of the worker's present incarnation; empty if the worker is not known.
+    std::string addressOf(const worker_id&) const;
     // Whether the leadership is recent enough to grant leases. Otherwise no task is started.
     void setMayGrantLeases(bool);
 
--- a/src/jobs/process/cell_attempts.cpp
+++ b/src/jobs/process/cell_attempts.cpp
@@ -36,6 +36,7 @@
     task_run& task = step->tasks[static_cast<size_t>(completion.task.index)];
     task_attempt* attempt = findAttempt({ step, completion.task.index, completion.attempt });
     bool known = attempt && attempt->worker == &worker;
+    task.lastAttempt = std::max(task.lastAttempt, completion.attempt);
     log.rateLimited([&] {
         return log_line("task_end")
             .add("task", completion.task.str())
@@ -237,9 +238,12 @@
         m.fenced = true;
         return;
     }
-    if (outcome == order_outcome::no_answer && !m.hasFault(cell_fault::restart_unanswered_starts)) {
+    // The worker also refuses as superseded the second delivery of a start whose attempt has ended since.
+    bool mayHaveRun = outcome == order_outcome::no_answer || outcome == order_outcome::superseded;
+    if (mayHaveRun && !m.hasFault(cell_fault::restart_unanswered_starts)) {
         if (attempt->phase == attempt_phase::starting)
-            m.stopAttempt(*step, start.task.index, *attempt, "start_unanswered");
+            m.stopAttempt(*step, start.task.index, *attempt,
+                outcome == order_outcome::no_answer ? "start_unanswered" : "start_superseded");
         return;
     }
     // All other outcomes mean that this attempt was not started and never will be.
@@ -249,7 +253,7 @@
         worker.noStartsUntil = std::max(worker.noStartsUntil, now + m.settings.stopTimeoutMs);
     if (outcome == order_outcome::unhealthy || outcome == order_outcome::malformed)
         worker.noStartsUntil = std::max(worker.noStartsUntil, now + baseQuarantineMs);
-    if (outcome == order_outcome::other_incarnation) {
+    if (outcome == order_outcome::other_incarnation && start.incarnation == worker.incarnation) {
         m.dropLostWorker(worker, "another_life_at_address");
         return;
     }
--- a/src/jobs/process/cell_model.h
+++ b/src/jobs/process/cell_model.h
@@ -122,7 +122,8 @@
     bool dirty = false; // The job has changed since its progress was last encoded.
     ms acceptedAt = 0;
     ms finishedAt = 0;
-    uint32_t recordsRead = 0; // Log records of the job that were read, repeated ones included.
+    uint32_t recordsRead
+        = 0; // Log records of the job that were read: submissions and cancels, also repeated.
     uint32_t recordsDeleted = 0; // Value of `recordsRead` at the last confirmed deletion.
     // When the job was durably finished and its records deleted, whichever was later.
     ms retainedSince = 0;
@@ -132,6 +133,7 @@
     std::shared_ptr<const std::string> payload;
     std::string unappliedProgress; // Progress restored before the record of the job itself.
     bool hasProgress = false; // An earlier leader has recorded progress of the job.
+    bool progressUnreadable = false; // The job's records must be kept as they are.
 
     bool isOver() const { return state >= job_state::completed; }
     bool isDurablyOver() const { return durableState >= job_state::completed; }
@@ -352,6 +354,7 @@
     void finishJob(job_run&, job_state);
     void markDirty(job_run&);
     void retain(job_run&);
+    void countRecord(job_run&);
     void requestDeletion(job_run&);
     bool recordsRemain(const job_run&) const;
     ms retentionClock() const;
@@ -363,7 +366,9 @@
     static task_attempt* findAttempt(const task_placement&);
     std::string encodeProgress(const job_run&) const;
     void applyProgress(job_run&, std::string_view bytes);
+    void setProgressUnreadable(job_run&, std::string_view error);
     std::optional<write_batch> takeWrite();
+    void forgetJobs(write_batch&);
     void onWritten();
     void sendRecordedStarts();
     bool startable(const task_placement&) const;
@@ -376,6 +381,7 @@
     void onReport(worker_state&, const worker_report&, ms sentAt);
     void handleListed(worker_state&, const running_task&);
     void handleUnlisted(worker_state&, ms sentAt);
+    void countFailedPoll(worker_state&);
     void pollWorkers();
     void pollWorker(worker_state&);
     void resendStops(worker_state&);
--- a/src/jobs/process/cell_progress.cpp
+++ b/src/jobs/process/cell_progress.cpp
@@ -25,14 +25,16 @@
             out.text(task.checkpoint);
     }
 
+    // A member of a gang may be done without an attempt that this leader knows of.
+    bool hasProgress(const task_run& task) { return task.lastAttempt > 0 || task.done; }
+
     void writeStep(record_writer& out, const step_run& step)
     {
-        auto startedTasks = std::count_if(
-            step.tasks.begin(), step.tasks.end(), [](const task_run& task) { return task.lastAttempt > 0; });
-        out.array(2).number(step.number).array(static_cast<size_t>(startedTasks));
+        auto tasks = std::count_if(step.tasks.begin(), step.tasks.end(), hasProgress);
+        out.array(2).number(step.number).array(static_cast<size_t>(tasks));
         for (int i = 0; i < static_cast<int>(step.tasks.size()); i++) {
             const task_run& task = step.tasks[static_cast<size_t>(i)];
-            if (task.lastAttempt > 0)
+            if (hasProgress(task))
                 writeTask(out, i, task);
         }
     }
@@ -48,6 +50,15 @@
         }
     }
 
+    // The state in a progress record, if the record has a format that this version reads.
+    std::optional<job_state> readState(const json& row)
+    {
+        if (!row.is_array() || row.size() < 2 || row[0] != progressFormat || !row[1].is_number_unsigned()
+            || row[1].get<uint64_t>() > static_cast<uint64_t>(job_state::cancelled))
+            return std::nullopt;
+        return static_cast<job_state>(row[1].get<int>());
+    }
+
 } // namespace
 
 // Format: [format, state, next occurrence, [[occurrence, [[step, [task, ...]]]]], started], where a task is
@@ -76,15 +87,14 @@
         slot = std::make_unique<job_run>();
         slot->id = id;
     }
-    json row = json::from_cbor(bytes, true, false);
-    if (!row.is_array() || row.size() < 2 || !row[1].is_number_integer()) {
-        m_model->log(log_line("progress_unreadable").add("job", id));
+    slot->hasProgress = true;
+    auto state = readState(json::from_cbor(bytes, true, false));
+    if (!state) {
+        m_model->setProgressUnreadable(*slot, "format or state");
         return;
     }
-    slot->hasProgress = true;
-    auto state = static_cast<job_state>(row[1].get<int>());
-    if (state >= job_state::completed) {
-        slot->state = slot->durableState = state;
+    if (*state >= job_state::completed) {
+        slot->state = slot->durableState = *state;
         slot->finishedAt = m_model->now;
         m_model->retain(*slot);
         return;
@@ -92,6 +102,26 @@
     slot->unappliedProgress = bytes;
 }
 
+// A record that cannot be read was damaged or has a newer format. The job counts as failed, since its tasks
+// might otherwise run twice, and its records are kept for a leader that can read them.
+void cell_model::setProgressUnreadable(job_run& job, std::string_view error)
+{
+    log(log_line("progress_unreadable").add("job", job.id).add("error", error));
+    job.progressUnreadable = true;
+    job.state = job.durableState = job_state::failed;
+    job.finishedAt = now;
+    for (auto& [number, occurrence] : job.liveOccurrences) {
+        for (step_run& step : occurrence->steps) {
+            for (int i = 0; i < static_cast<int>(step.tasks.size()); i++) {
+                auto& attempts = step.tasks[static_cast<size_t>(i)].attempts;
+                while (!attempts.empty())
+                    removeAttempt(step, i, *attempts.back().worker, attempts.back().number);
+            }
+        }
+    }
+    job.liveOccurrences.clear();
+}
+
 void cell_model::applyProgress(job_run& job, std::string_view bytes)
 {
     try {
@@ -129,11 +159,7 @@
         // Records of an earlier version lack the flag. A task recorded there was started, or about to be.
         job.started |= row.size() > 4 ? row[4].get<bool>() : !row.at(3).empty();
     } catch (const std::exception& error) {
-        // The record was written by this library under a fencing token, so this is a defect or a newer
-        // format. The job counts as failed and its record stays as it is, since a task might otherwise run
-        // twice.
-        log(log_line("progress_unreadable").add("job", job.id).add("error", error.what()));
-        job.state = job.durableState = job_state::failed;
+        setProgressUnreadable(job, error.what());
     }
 }
 
@@ -146,23 +172,9 @@
     return nullptr;
 }
 
-std::optional<write_batch> cell_model::takeWrite()
+// Removes the jobs whose retention is over, and adds the deletions of their progress records to the batch.
+void cell_model::forgetJobs(write_batch& batch)
 {
-    if (writeInFlight)
-        return std::nullopt;
-    releaseFinishedJobs();
-    if (dirty.empty() && jobsToDrop.empty()) {
-        for (worker_state* worker : workers.all())
-            worker->acknowledgedSequence = worker->processedSequence;
-        return std::nullopt;
-    }
-    write_batch batch;
-    for (job_run* job : dirty) {
-        job->dirty = false;
-        batch.records.push_back({ job->id, encodeProgress(*job) });
-    }
-    writingJobs.swap(dirty);
-    dirty.clear();
     std::vector<job_id> postponed;
     for (const job_id& id : jobsToDrop) {
         auto found = jobs.find(id);
@@ -187,6 +199,26 @@
         batch.records.push_back({ id, {} });
     }
     jobsToDrop.swap(postponed);
+}
+
+std::optional<write_batch> cell_model::takeWrite()
+{
+    if (writeInFlight)
+        return std::nullopt;
+    releaseFinishedJobs();
+    write_batch batch;
+    for (job_run* job : dirty) {
+        job->dirty = false;
+        batch.records.push_back({ job->id, encodeProgress(*job) });
+    }
+    writingJobs.swap(dirty);
+    dirty.clear();
+    forgetJobs(batch);
+    if (batch.records.empty()) {
+        for (worker_state* worker : workers.all())
+            worker->acknowledgedSequence = worker->processedSequence;
+        return std::nullopt;
+    }
     writingStarts.swap(plannedStarts);
     plannedStarts.clear();
     if (hasFault(cell_fault::start_without_record))
--- a/src/scheduler/process/cell_host_work.cpp
+++ b/src/scheduler/process/cell_host_work.cpp
@@ -9,11 +9,17 @@
     constexpr ms workerReadPeriodMs = 300;
     constexpr ms retryMs = 150;
     constexpr ms appendTimeoutMs = 1500;
+    constexpr size_t recordLengthBytes = 4; // Length of a record, before it in the body of an append.
     constexpr ms loadModelPeriodMs = 3000; // The load model is appended with progress records.
     constexpr ms tombstonePeriodMs = 4000;
     constexpr size_t maxTombstonesPerAppend = 500;
     constexpr ms adviceTimeoutMs = 4000;
     constexpr char cancelKeyPrefix = 'x'; // Not a hexadecimal digit, so no job id starts with it.
+
+    std::string encodeKey(const job_record_key& key)
+    {
+        return key.kind == job_record_kind::cancel ? cancelKeyPrefix + key.job : key.job;
+    }
 } // namespace
 
 void cell_host::state::flushCell()
@@ -22,16 +28,14 @@
         return;
     performActions();
     if (auto batch = ledCell->takeWrite(bootNow())) {
-        auto request = std::make_shared<platform::append_request>();
-        request->topic = progressTopic;
-        request->producer = platform::producer_sequence { "owner", token, ++progressSequence };
+        auto write = std::make_shared<progress_write>();
         for (const auto& record : batch->records)
-            request->records.push_back(platform::encodeKeyedRecord(record.job, record.bytes));
+            write->records.push_back(platform::encodeKeyedRecord(record.job, record.bytes));
         if (bootNow() - loadModelWrittenAt > loadModelPeriodMs) {
             loadModelWrittenAt = bootNow();
-            request->records.push_back(platform::encodeKeyedRecord(loadModelKey, ledCell->encodeLoadModel()));
+            write->records.push_back(platform::encodeKeyedRecord(loadModelKey, ledCell->encodeLoadModel()));
         }
-        appendProgress(request, leaderTerm);
+        appendProgress(write, leaderTerm);
     }
     performActions();
 }
@@ -52,20 +56,41 @@
         flushScheduled = false;
         if (!ledCell || !recovered)
             return;
-        ledCell->setMayGrantLeases(election.mayGrant(bootNow()));
-        ledCell->placePending(bootNow());
+        currentCell().placePending(bootNow());
         flushCell();
     });
 }
 
-void cell_host::state::appendProgress(std::shared_ptr<platform::append_request> request, uint64_t term)
+// Appends as many of the remaining records as fit into one call.
+void cell_host::state::appendProgress(const std::shared_ptr<progress_write>& write, uint64_t term)
+{
+    auto request = std::make_shared<platform::append_request>();
+    request->topic = progressTopic;
+    request->producer = platform::producer_sequence { "owner", token, ++progressSequence };
+    size_t bytes = 0;
+    for (size_t i = write->appended; i < write->records.size(); i++) {
+        bytes += write->records[i].size() + recordLengthBytes;
+        if (!request->records.empty() && bytes > context.settings.store.maxAppendBytes)
+            break;
+        request->records.push_back(write->records[i]);
+    }
+    sendProgress(write, request, term);
+}
+
+void cell_host::state::sendProgress(const std::shared_ptr<progress_write>& write,
+    const std::shared_ptr<platform::append_request>& request, uint64_t term)
 {
     context.store.append(
-        *request, appendTimeoutMs, [this, request, term](const platform::append_answer& answer) {
+        *request, appendTimeoutMs, [this, write, request, term](const platform::append_answer& answer) {
             if (!leadsInTerm(term))
                 return;
             if (answer.outcome == platform::store_outcome::done) {
-                ledCell->onWritten(bootNow());
+                write->appended += request->records.size();
+                if (write->appended < write->records.size()) {
+                    appendProgress(write, term);
+                    return;
+                }
+                currentCell().onWritten(bootNow());
                 flushCell();
                 return;
             }
@@ -78,28 +103,30 @@
                 stepDown("fenced_at_store");
                 return;
             }
+            // The sequence can be started anew only under another epoch. Nothing is lost: the next term reads
+            // what was appended.
+            if (answer.outcome == platform::store_outcome::out_of_order) {
+                stepDown("append_out_of_order");
+                return;
+            }
             // Retry with the same sequence number: if the append was done, the store repeats its first
             // answer.
-            scheduleInTerm(term, retryMs, [this, request, term] { appendProgress(request, term); });
+            scheduleInTerm(
+                term, retryMs, [this, write, request, term] { sendProgress(write, request, term); });
         });
 }
 
 void cell_host::state::perform(const action& requested)
 {
-    uint64_t term = leaderTerm;
-    auto addressOf = [this](const worker_id& id) {
-        auto found = workerAddresses.find(id);
-        return found == workerAddresses.end() ? std::string() : found->second;
-    };
     struct performer {
         state& self;
         uint64_t term;
-        std::function<std::string(const worker_id&)> addressOf;
 
         void operator()(const start_action& order) const
         {
             self.context.counts["starts"]++;
-            self.workers.start(addressOf(order.worker), order, fencingToken(self.token, order.incarnation),
+            self.workers.start(self.ledCell->addressOf(order.worker), order,
+                fencingToken(self.token, order.incarnation),
                 [&self = self, term = term, order](order_outcome outcome) {
                     if (!self.leadsInTerm(term))
                         return;
@@ -113,7 +140,8 @@
         void operator()(const stop_action& order) const
         {
             self.context.counts["stops"]++;
-            self.workers.stop(addressOf(order.worker), order, fencingToken(self.token, order.incarnation),
+            self.workers.stop(self.ledCell->addressOf(order.worker), order,
+                fencingToken(self.token, order.incarnation),
                 [&self = self, term = term, order](order_outcome outcome) {
                     if (self.leadsInTerm(term))
                         self.ledCell->onStopped(order, outcome, bootNow());
@@ -122,20 +150,21 @@
         void operator()(const pace_action& order) const
         {
             self.context.counts["paces"]++;
-            self.workers.pace(addressOf(order.worker), order, fencingToken(self.token, order.incarnation),
-                [](order_outcome) {});
+            self.workers.pace(self.ledCell->addressOf(order.worker), order,
+                fencingToken(self.token, order.incarnation), [](order_outcome) {});
         }
         void operator()(const poll_action& order) const
         {
             self.context.counts["looks"]++;
             ms sentAt = bootNow();
-            self.workers.poll(addressOf(order.worker), order, fencingToken(self.token, order.incarnation),
+            self.workers.poll(self.ledCell->addressOf(order.worker), order,
+                fencingToken(self.token, order.incarnation),
                 [&self = self, term = term, order, sentAt](
                     order_outcome outcome, const worker_report& report) {
                     if (!self.leadsInTerm(term))
                         return;
                     if (outcome == order_outcome::done)
-                        self.ledCell->onReport(order.worker, report, sentAt, bootNow());
+                        self.currentCell().onReport(order.worker, report, sentAt, bootNow());
                     else
                         self.ledCell->onPollFailed(order, outcome, bootNow());
                     self.scheduleFlush();
@@ -158,7 +187,7 @@
         }
         void operator()(const forget_job_action& request) const { self.tombstones.request(request); }
     };
-    std::visit(performer { *this, term, addressOf }, requested);
+    std::visit(performer { *this, leaderTerm }, requested);
 }
 
 void cell_host::state::followJobs(uint64_t term, int partition)
@@ -173,12 +202,13 @@
                 return;
             job_cursor& cursor = cursors[static_cast<size_t>(partition)];
             if (answer.outcome == platform::store_outcome::expired) {
+                ms newestSentAt = bootNow();
                 context.store.readNewestByKey(
-                    jobsTopic, partition, [this, term, partition](const auto& newest) {
+                    jobsTopic, partition, [this, term, partition, newestSentAt](const auto& newest) {
                         if (!leadsInTerm(term))
                             return;
                         if (newest.outcome == platform::store_outcome::done) {
-                            cursors[static_cast<size_t>(partition)].nextOffset = newest.end;
+                            cursors[static_cast<size_t>(partition)] = { partition, newest.end, newestSentAt };
                             for (const auto& item : newest.items)
                                 applyJobRecord(partition, item);
                             scheduleFlush();
@@ -193,7 +223,9 @@
                 scheduleInTerm(term, retryMs, [this, term, partition] { followJobs(term, partition); });
                 return;
             }
-            cursor.readUpTo = sentAt;
+            // An answer of limited size may hold only the first of the records.
+            if (answer.nextOffset >= answer.end)
+                cursor.readUpTo = sentAt;
             cursor.nextOffset = answer.nextOffset;
             for (const auto& record : answer.records) {
                 if (auto item = platform::decodeKeyedRecord(record))
@@ -210,16 +242,19 @@
     if (item.value.empty() || item.key.empty())
         return;
     if (item.key[0] == cancelKeyPrefix) {
-        ledCell->cancel(item.key.substr(1));
+        job_record_key key { item.key.substr(1), job_record_kind::cancel };
+        tombstones.onRecord(partition, key);
+        ledCell->cancel(key.job);
         return;
     }
+    tombstones.onRecord(partition, { item.key, job_record_kind::submission });
     auto record = decodeJob(item.value);
     if (!record) {
         context.counts["job_unreadable"]++;
         context.log.writeAlways(log_line("job_unreadable").add("id", item.key));
+        ledCell->addUnreadableRecord(item.key);
         return;
     }
-    tombstones.onRecord(partition, item.key);
     ledCell->addJob(item.key, *record);
 }
 
@@ -255,7 +290,6 @@
         context.counts["worker_unreadable"]++;
         return;
     }
-    workerAddresses[record->id] = record->address;
     ledCell->setWorker(*record, bootNow());
 }
 
@@ -263,15 +297,15 @@
 void cell_host::state::appendTombstones(uint64_t term, int partition)
 {
     job_tombstones::batch batch;
-    while (batch.jobs.empty() && partition < context.settings.store.partitions)
+    while (batch.keys.empty() && partition < context.settings.store.partitions)
         batch = tombstones.takeBatch(partition++, maxTombstonesPerAppend);
-    if (batch.jobs.empty()) {
+    if (batch.keys.empty()) {
         scheduleInTerm(term, tombstonePeriodMs, [this, term] { appendTombstones(term, 0); });
         return;
     }
     platform::append_request request { jobsTopic, batch.partition, {}, {}, {} };
-    for (const job_id& id : batch.jobs)
-        request.records.push_back(platform::encodeKeyedRecord(id, ""));
+    for (const job_record_key& key : batch.keys)
+        request.records.push_back(platform::encodeKeyedRecord(encodeKey(key), ""));
     context.store.append(request, appendTimeoutMs,
         [this, term, partition, batch = std::move(batch)](const platform::append_answer& answer) {
             if (!leadsInTerm(term))
@@ -285,9 +319,9 @@
     const job_tombstones::batch& batch, const platform::append_answer& answer)
 {
     bool durable = answer.outcome == platform::store_outcome::done;
-    auto records = static_cast<int64_t>(batch.jobs.size());
+    auto records = static_cast<int64_t>(batch.keys.size());
     if (durable) {
-        context.counts["jobs_deleted"] += records;
+        context.counts["job_records_deleted"] += records;
     } else {
         context.counts["job_deletion_" + std::string(toString(answer.outcome))]++;
         context.log.write(
--- a/tests/jobs/retention_test.cpp
+++ b/tests/jobs/retention_test.cpp
@@ -110,3 +110,88 @@
     driver.runOnce();
     BOOST_TEST((driver.scheduler.stateOf("j") == job_state::completed));
 }
+
+BOOST_AUTO_TEST_CASE(cancel_is_deleted_with_the_records_of_its_job)
+{
+    cell_driver driver;
+    driver.scheduler.addJob("j", singleStepJob(1));
+    driver.scheduler.begin(driver.now, driver.now);
+    driver.scheduler.cancel("j");
+    driver.runOnce();
+    auto requests = driver.take<forget_job_action>();
+    BOOST_REQUIRE(requests.size() == 1);
+    BOOST_TEST(requests[0].recordsRead == 2);
+}
+
+BOOST_AUTO_TEST_CASE(cancel_of_a_finished_job_is_deleted)
+{
+    cell_driver driver;
+    finishJob(driver, "j");
+    auto first = driver.take<forget_job_action>();
+    BOOST_REQUIRE(first.size() == 1);
+    driver.scheduler.onJobRecordsDeleted(first[0], driver.now);
+    driver.scheduler.cancel("j");
+    driver.runOnce();
+    BOOST_TEST(driver.take<forget_job_action>().size() == 1);
+    BOOST_TEST((driver.scheduler.stateOf("j") == job_state::completed));
+}
+
+BOOST_AUTO_TEST_CASE(cancel_of_an_unknown_job_is_deleted)
+{
+    cell_driver driver;
+    driver.scheduler.begin(driver.now, driver.now);
+    driver.scheduler.cancel("j");
+    driver.runOnce();
+    BOOST_TEST(driver.take<forget_job_action>().size() == 1);
+}
+
+BOOST_AUTO_TEST_CASE(new_leader_deletes_the_cancel_of_a_job_that_ended_before)
+{
+    cell_driver first;
+    first.scheduler.begin(first.now, first.now);
+    first.scheduler.cancel("j");
+    first.runOnce();
+    cell_driver second;
+    second.scheduler.restoreProgress("j", first.progress.at("j"));
+    second.scheduler.cancel("j");
+    second.scheduler.begin(second.now, second.now);
+    second.runOnce();
+    BOOST_TEST(second.take<forget_job_action>().size() == 1);
+}
+
+BOOST_AUTO_TEST_CASE(unreadable_record_of_a_finished_job_is_deleted)
+{
+    cell_driver driver;
+    finishJob(driver, "j");
+    auto first = driver.take<forget_job_action>();
+    BOOST_REQUIRE(first.size() == 1);
+    driver.scheduler.onJobRecordsDeleted(first[0], driver.now);
+    driver.scheduler.addUnreadableRecord("j");
+    driver.runOnce();
+    BOOST_TEST(driver.take<forget_job_action>().size() == 1);
+}
+
+BOOST_AUTO_TEST_CASE(unreadable_record_of_an_unknown_job_is_left_alone)
+{
+    cell_driver driver;
+    driver.scheduler.begin(driver.now, driver.now);
+    driver.scheduler.addUnreadableRecord("j");
+    driver.runOnce();
+    BOOST_TEST(driver.take<forget_job_action>().empty());
+    BOOST_TEST(!driver.scheduler.stateOf("j"));
+}
+
+// An append without records is no append to the store: it only sets the producer's epoch.
+BOOST_AUTO_TEST_CASE(nothing_is_written_when_a_record_was_read_just_before_the_job_is_dropped)
+{
+    cell_driver driver;
+    finishJob(driver, "j");
+    auto requests = driver.take<forget_job_action>();
+    BOOST_REQUIRE(requests.size() == 1);
+    driver.scheduler.onJobRecordsDeleted(requests[0], driver.now);
+    driver.now += pastRetentionMs;
+    driver.scheduler.setJobLogReadUpTo(driver.now);
+    driver.scheduler.tick(driver.now, driver.now);
+    driver.scheduler.addJob("j", singleStepJob(1));
+    BOOST_TEST(!driver.scheduler.takeWrite(driver.now).has_value());
+}
--- a/tests/jobs/world_job_log.cpp
+++ b/tests/jobs/world_job_log.cpp
@@ -12,6 +12,11 @@
     constexpr char cancelKeyPrefix = 'x'; // No job id starts with it.
     constexpr ms readWaitMs = 1000; // Longest wait of a read for the next record.
     constexpr ms longestLateAppendMs = 12'000;
+
+    std::string encodeKey(const job_record_key& key)
+    {
+        return key.kind == job_record_kind::cancel ? cancelKeyPrefix + key.job : key.job;
+    }
 } // namespace
 
 void world::submit()
@@ -81,7 +86,7 @@
     }
     submitted_job& job = m_jobs.at(id);
     job.cancelledAt = job.cancelledAt.value_or(m_now);
-    m_jobLog.append(partition, cancelKeyPrefix + id, "x");
+    m_jobLog.append(partition, encodeKey({ id, job_record_kind::cancel }), "x");
 }
 
 bool world::readsJobLog(const leader_instance& leader) const
@@ -209,7 +214,7 @@
 void world::readAgain(const leader_ptr& leader, size_t partition)
 {
     readNewest(leader, partition, [this, leader, partition](const newest_read& read) {
-        leader->cursors[partition].nextOffset = *read.end;
+        leader->cursors[partition] = { *read.end, read.sentAt };
         for (const auto& item : read.items)
             applyJobRecord(*leader, partition, item);
         followJobs(leader, partition);
@@ -221,7 +226,9 @@
     if (item.value.empty())
         return;
     if (item.key[0] == cancelKeyPrefix) {
-        leader.scheduler->cancel(item.key.substr(1));
+        job_record_key key { item.key.substr(1), job_record_kind::cancel };
+        leader.tombstones.onRecord(static_cast<int>(partition), key);
+        leader.scheduler->cancel(key.job);
         return;
     }
     auto record = decodeJob(item.value);
@@ -229,7 +236,7 @@
         reportViolation("record of the job log is unreadable: " + item.key);
         return;
     }
-    leader.tombstones.onRecord(static_cast<int>(partition), item.key);
+    leader.tombstones.onRecord(static_cast<int>(partition), { item.key, job_record_kind::submission });
     leader.scheduler->addJob(item.key, *record);
 }
 
@@ -245,9 +252,9 @@
     if (!leader->alive)
         return;
     job_tombstones::batch batch;
-    while (batch.jobs.empty() && partition < static_cast<int>(m_jobLog.partitions()))
+    while (batch.keys.empty() && partition < static_cast<int>(m_jobLog.partitions()))
         batch = leader->tombstones.takeBatch(partition++, m_tombstonesPerAppend);
-    if (batch.jobs.empty()) {
+    if (batch.keys.empty()) {
         runAfter(m_tombstonePeriodMs, [this, leader] { appendTombstones(leader, 0); });
         return;
     }
@@ -275,8 +282,8 @@
 
 void world::landTombstones(const job_tombstones::batch& batch)
 {
-    for (const job_id& id : batch.jobs)
-        m_jobLog.append(static_cast<size_t>(batch.partition), id, "");
+    for (const job_record_key& key : batch.keys)
+        m_jobLog.append(static_cast<size_t>(batch.partition), encodeKey(key), "");
 }
 
 void world::onTombstonesAppended(const leader_ptr& leader, const job_tombstones::batch& batch, bool durable)
