An odd entry of the list names no worker

Another writer's entry was taken for a worker whatever its key and its numbers were. Callers would see jobs that never end: an entry with a good value and the address of a live worker, under a key with a space at either end or with a line break, is polled under a second id. The header with the intended incarnation is trimmed by the worker, or left out by the HTTP library, so the worker answers; its tasks belong to the other id and are stopped as unknown, again and again. An entry of a live worker's id with `born` of 9e18 made every later entry and report of that worker one of an earlier life. A capacity of 1e300 was converted out of the range of its type. The name of a host was resolved by a call that blocks the loop.

field_reader reads each field with its type and range, so that nothing throws and nothing is converted out of range; its first failure is the reason that worker_unreadable logs, once for each error of an id.

An entry that cannot be read changes nothing, as before: what was read of that id holds. `Slots`, `Version`, `ColdLeftMs` and `Sequence` may be absent, since nothing depends on them, but not of another type.

--- a/src/net/connection/http_client.cpp
+++ b/src/net/connection/http_client.cpp
@@ -6,6 +6,7 @@
 // that call, since the same fault may affect all of them.
 #include "net/net.h"
 
+#include <arpa/inet.h>
 #include <deque>
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
@@ -28,6 +29,14 @@
 
 } // namespace
 
+bool isNumericAddress(const std::string& host)
+{
+    in6_addr parsed {}; // Also fits an IPv4 address.
+    return host.find('\0') == std::string::npos
+        && (inet_pton(AF_INET, host.c_str(), &parsed) == 1
+            || inet_pton(AF_INET6, host.c_str(), &parsed) == 1);
+}
+
 struct http_client::state : std::enable_shared_from_this<http_client::state> {
     struct pending_call {
         evhttp_cmd_type method = EVHTTP_REQ_GET;
--- a/src/net/net.h
+++ b/src/net/net.h
@@ -82,6 +82,9 @@
     virtual bool callerDisconnected() const = 0;
 };
 
+// Whether `host` is an IP address. The name of a host would be resolved by a call that blocks the loop.
+bool isNumericAddress(const std::string& host);
+
 struct http_limits {
     size_t maxBodyBytes = 65536;
     int64_t idleTimeoutMs = 30'000; // Idle connections are closed after this; rounded down to seconds.
--- a/src/scheduler/process/cell_host_state.h
+++ b/src/scheduler/process/cell_host_state.h
@@ -38,6 +38,7 @@
     job_tombstones tombstones;
     uint64_t nextWorkerOffset = 0;
     std::map<worker_id, std::string> workerAddresses;
+    std::map<std::string, std::string> unreadableWorkers; // Last logged error of each id.
     int recoveryStepsLeft = 0;
     std::vector<std::pair<uint64_t, platform::keyed_item>> recoveredJobs;
     ms recoveryStartedAt = 0;
@@ -74,6 +75,7 @@
     void followWorkers(uint64_t term);
     void applyJobRecord(int partition, const platform::keyed_item&);
     void applyWorkerRecord(const platform::keyed_item&);
+    void onUnreadableWorker(const std::string& id, const std::string& error);
     void appendTombstones(uint64_t term, int partition);
     void onTombstonesAppended(const job_tombstones::batch&, const platform::append_answer&);
     ms jobLogReadUpTo() const;
--- a/src/scheduler/process/cell_host_work.cpp
+++ b/src/scheduler/process/cell_host_work.cpp
@@ -14,6 +14,7 @@
     constexpr size_t maxTombstonesPerAppend = 500;
     constexpr ms adviceTimeoutMs = 4000;
     constexpr char cancelKeyPrefix = 'x'; // Not a hexadecimal digit, so no job id starts with it.
+    constexpr size_t maxUnreadableWorkers = 1000; // Bound on the ids whose errors are remembered.
 } // namespace
 
 void cell_host::state::flushCell()
@@ -238,6 +239,8 @@
                 for (const auto& record : answer.records) {
                     if (auto item = platform::decodeKeyedRecord(record))
                         applyWorkerRecord(*item);
+                    else
+                        onUnreadableWorker("", "record: has no key");
                 }
             }
             scheduleInTerm(term, workerReadPeriodMs, [this, term] { followWorkers(term); });
@@ -250,13 +253,30 @@
         ledCell->removeWorker(item.key, bootNow());
         return;
     }
-    auto record = platform::readWorker(item.key, item.value);
-    if (!record) {
-        context.counts["worker_unreadable"]++;
+    auto read = platform::readWorker(item.key, item.value, unixNow());
+    if (const auto* error = std::get_if<std::string>(&read)) {
+        onUnreadableWorker(item.key, *error);
         return;
     }
-    workerAddresses[record->id] = record->address;
-    ledCell->setWorker(*record, bootNow());
+    const auto& record = std::get<worker_record>(read);
+    unreadableWorkers.erase(record.id);
+    workerAddresses[record.id] = record.address;
+    ledCell->setWorker(record, bootNow());
+}
+
+// A record that cannot be read changes nothing: a worker of that id that wrote a readable record before is
+// still in use, and renews its record soon. Each error of an id is logged once, since its writer may repeat
+// it.
+void cell_host::state::onUnreadableWorker(const std::string& id, const std::string& error)
+{
+    context.counts["worker_unreadable"]++;
+    if (unreadableWorkers.size() >= maxUnreadableWorkers)
+        unreadableWorkers.clear();
+    std::string& logged = unreadableWorkers[id];
+    if (logged == error)
+        return;
+    logged = error;
+    context.log.write(log_line("worker_unreadable").add("worker", id).add("error", error));
 }
 
 // Deletes the records of finished jobs: in each period, one batch from each partition that has any.
--- a/tests/platform/platform_test.cpp
+++ b/tests/platform/platform_test.cpp
@@ -3,6 +3,7 @@
 #define BOOST_TEST_MODULE platform
 #include "platform/body_writer.h"
 #include "scheduler/scheduler.h"
+#include "schema/field_reader.h"
 
 #include <boost/test/unit_test.hpp>
 #include <filesystem>
@@ -34,6 +35,50 @@
         { "store", { { "address", "10.0.0.2:90" }, { "partitions", 8 } } } };
 }
 
+constexpr int64_t nowUnixMs = 1'800'000'000'000;
+constexpr int nesting = 100'000;
+
+std::optional<worker_record> readWorker(std::string_view id, std::string_view bytes)
+{
+    auto read = platform::readWorker(id, bytes, nowUnixMs);
+    const auto* record = std::get_if<worker_record>(&read);
+    return record ? std::optional(*record) : std::nullopt;
+}
+
+std::string repeated(const std::string& text, int times)
+{
+    std::string out;
+    for (int i = 0; i < times; i++)
+        out += text;
+    return out;
+}
+
+const std::string deepArray = repeated("[", nesting) + repeated("]", nesting);
+const std::string deepObject = repeated("{\"a\":", nesting) + "1" + repeated("}", nesting);
+const std::vector<std::string> hugeNumbers { "1e999", "-1e999", "1e300", "-1e300", "99999999999999999999",
+    "18446744073709551615", "9223372036854775807", "-9223372036854775808", "9.3e18" };
+const std::vector<std::string> wrongTypes { "\"x\"", "true", "null", "[]", "{}", deepArray, deepObject };
+
+// JSON of `document` with the raw text `value` in the place of the field at `path`.
+std::string withField(json document, const std::string& path, const std::string& value)
+{
+    document[json::json_pointer(path)] = "@";
+    std::string out = document.dump();
+    return out.replace(out.find("\"@\""), 3, value);
+}
+
+// Replaces one value of a JSON document by an odd one.
+std::string replaceValue(const std::string& text, std::mt19937& random)
+{
+    std::vector<std::string> odd = hugeNumbers;
+    odd.insert(odd.end(),
+        { "-1", "65536", "0.5", "\"\"", "\"\\ud800\"", "\"h:99999\"", "true", "null", "[[[[1]]]]",
+            "{\"a\":{\"a\":1}}", "[]", "{}" });
+    json document = json::parse(text).flatten();
+    auto chosen = std::next(document.begin(), static_cast<long>(random() % document.size()));
+    return withField(json::parse(text), chosen.key(), odd[random() % odd.size()]);
+}
+
 // Replaces up to four characters of `text`, and truncates it in one of four cases.
 std::string corrupt(std::string text, std::mt19937& random)
 {
@@ -49,7 +94,7 @@
 
 BOOST_AUTO_TEST_CASE(a_worker_record_is_read)
 {
-    auto read = platform::readWorker("w", worker);
+    auto read = readWorker("w", worker);
     BOOST_REQUIRE(read);
     BOOST_TEST(read->service == "s");
     BOOST_TEST(read->rack == "r1-3");
@@ -121,14 +166,85 @@
     for (const char* field : { "Service", "Address", "Zone", "State", "Capacity" }) {
         json bad = record;
         bad.erase(field);
-        BOOST_TEST(!platform::readWorker("w", bad.dump()), "without " << field);
+        BOOST_TEST(!readWorker("w", bad.dump()), "without " << field);
         bad[field] = json::array({ 1 });
-        BOOST_TEST(!platform::readWorker("w", bad.dump()), "wrong type of " << field);
+        BOOST_TEST(!readWorker("w", bad.dump()), "wrong type of " << field);
     }
     record["State"] = "resting";
-    BOOST_TEST(!platform::readWorker("w", record.dump()));
-    BOOST_TEST(!platform::readWorker("w", "\xff\xfe"));
-    BOOST_TEST(!platform::readWorker("w", "[]"));
+    BOOST_TEST(!readWorker("w", record.dump()));
+    BOOST_TEST(!readWorker("w", "\xff\xfe"));
+    BOOST_TEST(!readWorker("w", "[]"));
+}
+
+BOOST_AUTO_TEST_CASE(an_odd_worker_record_names_no_worker)
+{
+    const json record = json::parse(worker);
+    for (const char* field : { "/Capacity/Cpu", "/Capacity/MemMb", "/Capacity/Gpu", "/born", "/RemainingMs",
+             "/Sequence", "/Slots", "/ColdLeftMs" }) {
+        for (const auto& value : hugeNumbers)
+            BOOST_TEST(!readWorker("w", withField(record, field, value)), field << " " << value);
+        for (const auto& value : wrongTypes)
+            BOOST_TEST(!readWorker("w", withField(record, field, value)), field << " " << value.substr(0, 9));
+    }
+    for (const char* field : { "/Capacity/Cpu", "/Capacity/MemMb", "/Capacity/Gpu", "/born" })
+        BOOST_TEST(!readWorker("w", withField(record, field, "-1")), field);
+    for (const char* field : { "/Service", "/Address", "/Zone", "/State", "/Version", "/Capacity" }) {
+        for (const std::string value : { "7", "1e300", "true", "null", "[]", "\"\xff\"", "\"\\ud800\"" })
+            BOOST_TEST(!readWorker("w", withField(record, field, value)), field << " " << value);
+        BOOST_TEST(!readWorker("w", withField(record, field, deepArray)), field);
+        BOOST_TEST(!readWorker("w", withField(record, field, deepObject)), field);
+    }
+    for (const std::string value : { "7", "null", "\"a\"", "[1]", "[\"a\",null]", "{}" })
+        BOOST_TEST(!readWorker("w", withField(record, "/Labels", value)), value);
+    BOOST_TEST(
+        !readWorker("w", withField(record, "/Labels", json(std::vector<std::string>(100'000, "a")).dump())));
+    for (const std::string& bytes : { deepArray, deepObject, repeated("[", nesting), std::string(1, '\0') })
+        BOOST_TEST(!readWorker("w", bytes));
+    BOOST_TEST(readWorker("w", withField(record, "/Unknown", deepArray)).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(a_port_out_of_range_or_the_name_of_a_host_names_no_worker)
+{
+    const json record = json::parse(worker);
+    for (const char* address : { "10.0.0.9:0", "10.0.0.9:65536", "10.0.0.9:99999999999", "10.0.0.9:-1",
+             "10.0.0.9:+80", "10.0.0.9:80x", "10.0.0.9:", "10.0.0.9", ":80", "", "worker.example:80",
+             "localhost:80", "10.0.0.9 :80", " 10.0.0.9:80", "10.0.0.9\r\nX: y:80", "10.0.0:80",
+             "10.0.0.256:80", "[::1:80", "::1]:80", "[]:80" })
+        BOOST_TEST(!readWorker("w", withField(record, "/Address", json(address).dump())), address);
+    for (const char* address : { "10.0.0.9:1", "127.0.0.1:65535", "[fd00::9]:8080" })
+        BOOST_TEST(readWorker("w", withField(record, "/Address", json(address).dump())).has_value(), address);
+    BOOST_TEST(platform::splitAddress("[fd00::9]:8080").first == "fd00::9");
+}
+
+BOOST_AUTO_TEST_CASE(a_key_that_no_header_carries_unchanged_names_no_worker)
+{
+    for (const std::string& id :
+        { std::string(), std::string("a b"), std::string(" a"), std::string("a\t"), std::string("a\r\nb"),
+            std::string("a\0", 2), std::string("a\xff"), std::string("a\x7f"), std::string("\xc3\xb1") })
+        BOOST_TEST(!readWorker(id, worker), json(id).dump(-1, ' ', true, json::error_handler_t::replace));
+    BOOST_TEST(readWorker(std::string(255, 'k'), worker).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(a_worker_that_starts_in_the_far_future_names_no_worker)
+{
+    const json record = json::parse(worker);
+    for (int64_t born : { int64_t { 0 }, int64_t { 1 }, nowUnixMs, nowUnixMs + 60'000 })
+        BOOST_TEST(readWorker("w", withField(record, "/born", std::to_string(born))).has_value(), born);
+    for (int64_t born : { 2 * nowUnixMs, maxExactInteger, int64_t { -1 } })
+        BOOST_TEST(!readWorker("w", withField(record, "/born", std::to_string(born))), born);
+}
+
+BOOST_AUTO_TEST_CASE(the_error_of_a_worker_record_names_the_field_and_is_short)
+{
+    const json record = json::parse(worker);
+    auto errorOf = [](const std::string& bytes) {
+        return std::get<std::string>(platform::readWorker("w", bytes, nowUnixMs));
+    };
+    BOOST_TEST(errorOf(withField(record, "/Capacity/Cpu", "1e300")) == "Capacity/Cpu: out of range");
+    BOOST_TEST(errorOf(withField(record, "/Service", "7")) == "Service: must be text");
+    BOOST_TEST(errorOf("{}") == "Address: missing");
+    BOOST_TEST(errorOf(std::string(100'000, 'x')).size() < 100u);
+    BOOST_TEST(errorOf("\"" + std::string(100'000, 'x')).size() < 100u);
 }
 
 BOOST_AUTO_TEST_CASE(a_configuration_is_read)
@@ -159,12 +275,58 @@
     BOOST_TEST(std::holds_alternative<std::string>(platform::readJob("no job")));
 }
 
+BOOST_AUTO_TEST_CASE(a_job_with_numbers_out_of_range_is_rejected_with_a_short_error)
+{
+    const json valid = json::parse(job);
+    auto isRejected = [](const std::string& bytes) {
+        auto read = platform::readJob(bytes);
+        const auto* error = std::get_if<std::string>(&read);
+        return error && error->size() < 200;
+    };
+    for (const char* field : { "/Steps/0/Count", "/Steps/0/Cpu", "/Steps/0/MemMb", "/Steps/0/EstimateMs",
+             "/Steps/0/AntiAffinity", "/Steps/0/TargetMs", "/Steps/0/MayMiss", "/Steps/1/DependsOn/0",
+             "/RepeatCount", "/StartAtMs", "/IntervalMs" }) {
+        for (const auto& value : hugeNumbers)
+            BOOST_TEST(isRejected(withField(valid, field, value)), field << " " << value);
+        BOOST_TEST(isRejected(withField(valid, field, "true")), field);
+        BOOST_TEST(isRejected(withField(valid, field, deepArray)), field);
+    }
+    for (const char* field : { "/Steps/0/Count", "/Steps/0/AntiAffinity", "/Steps/1/DependsOn/0" })
+        BOOST_TEST(isRejected(withField(valid, field, "4294967297")), field);
+    BOOST_TEST(isRejected("\"" + std::string(100'000, 'x')));
+    BOOST_TEST(isRejected(deepObject));
+}
+
+BOOST_AUTO_TEST_CASE(a_configuration_with_numbers_out_of_range_is_rejected)
+{
+    const json valid = json::parse(configuration);
+    for (const char* field : { "/Version", "/Routes/0/Priority", "/Routes/0/MaxAttempts", "/Routes/0/Stretch",
+             "/Routes/0/TargetLatencyMs", "/Routes/0/Advice/ValidMs", "/Limits/MaxBodyBytes" }) {
+        for (const auto& value : hugeNumbers)
+            BOOST_TEST(!platform::readConfiguration(withField(valid, field, value)), field << " " << value);
+        BOOST_TEST(!platform::readConfiguration(withField(valid, field, deepArray)), field);
+    }
+    BOOST_TEST(!platform::readConfiguration(deepArray));
+    BOOST_TEST(!platform::readConfiguration(deepObject));
+}
+
 // No decoder crashes or throws on corrupted input.
 BOOST_AUTO_TEST_CASE(corrupted_input_does_not_crash_the_decoders)
 {
     std::mt19937 random(11);
+    platform::report_reader reader;
     for (int i = 0; i < 20'000; i++) {
-        platform::readWorker("w", corrupt(worker, random));
+        platform::readConfiguration(replaceValue(configuration, random));
+        platform::readJob(replaceValue(job, random));
+        reader.read(replaceValue(report, random));
+        if (auto read = readWorker("w", replaceValue(worker, random))) {
+            BOOST_REQUIRE(read->capacity.cpuMilli >= 0);
+            BOOST_REQUIRE(read->capacity.memoryMb >= 0);
+            BOOST_REQUIRE(read->startedUnixMs >= 0);
+            BOOST_REQUIRE(read->startedUnixMs < 2 * nowUnixMs);
+            BOOST_REQUIRE(platform::splitAddress(read->address).second > 0);
+        }
+        readWorker("w", corrupt(worker, random));
         platform::readConfiguration(corrupt(configuration, random));
         platform::readJob(corrupt(job, random));
         platform::readTaskName(corrupt("5c0e7a21d94b36f8.0.1.17", random));
