An answer with a field of another type does not end the process

The JSON library throws when a field has another type than the one asked for. In the callbacks for answers of the store (`Offset`, `End`, `items`, `Key`, `HasMore`), of workers (`Reason`) and of the advice service nothing caught that: one such answer ended the process. A list in the answer was also copied, which recurses, so that one nested 100,000 deep overflowed the stack.

fields_of_the_wrong_type_in_an_answer_do_not_end_the_process failed before with an uncaught type_error. a_key_that_is_no_unicode_leaves_the_other_items_readable failed: one key made a whole page, and with it the list of workers, unreadable at every try. a_record_cut_at_the_start_of_an_answer_is_malformed failed: the reader asked for the same offset again at once.

An append whose answer has no offset counts as not answered, since it was carried out; it used to count as done at offset 0, which would have been a leader's token. Items that cannot be read are skipped and logged as store_answer_unreadable.

--- /dev/null
+++ b/src/net/connection/encoding.cpp
@@ -0,0 +1,31 @@
+// Encodings by OpenSSL.
+#include "net/connection/encoding.h"
+
+#include <openssl/evp.h>
+
+namespace camphorwell {
+
+std::string encodeBase64(const std::string& bytes)
+{
+    std::string out((bytes.size() + 2) / 3 * 4 + 1, '\0');
+    int length = EVP_EncodeBlock(reinterpret_cast<unsigned char*>(out.data()),
+        reinterpret_cast<const unsigned char*>(bytes.data()), static_cast<int>(bytes.size()));
+    out.resize(static_cast<size_t>(length));
+    return out;
+}
+
+std::optional<std::string> decodeBase64(const std::string& text)
+{
+    if (text.size() % 4 != 0)
+        return std::nullopt;
+    std::string out(text.size() / 4 * 3, '\0');
+    int length = EVP_DecodeBlock(reinterpret_cast<unsigned char*>(out.data()),
+        reinterpret_cast<const unsigned char*>(text.data()), static_cast<int>(text.size()));
+    if (length < 0)
+        return std::nullopt;
+    size_t padding = text.empty() ? 0 : (text.back() == '=') + (text[text.size() - 2] == '=');
+    out.resize(static_cast<size_t>(length) - padding);
+    return out;
+}
+
+} // namespace camphorwell
--- a/src/scheduler/process/daemon.cpp
+++ b/src/scheduler/process/daemon.cpp
@@ -8,6 +8,7 @@
     constexpr int logLinesPerSecond = 400;
     constexpr ms shutdownCheckPeriodMs = 100;
     constexpr ms statisticsPeriodMs = 5000;
+    constexpr size_t maxLoggedKeyLength = 255; // Longest key that the store accepts.
 } // namespace
 
 struct scheduler_daemon::state {
@@ -21,6 +22,14 @@
         , jobs(context)
         , frontend(context, catalogue, directory, jobs, cells)
     {
+        store.onUnreadable(
+            [this](const std::string& topic, const std::string& key, const std::string& error) {
+                counts["store_answer_unreadable"]++;
+                log.write(log_line("store_answer_unreadable")
+                              .add("topic", topic)
+                              .add("key", std::string_view(key).substr(0, maxLoggedKeyLength))
+                              .add("error", error));
+            });
         for (int i = 0; i < settings.cells; i++)
             cells.push_back(std::make_unique<cell_host>(context, i));
     }
--- /dev/null
+++ b/tests/platform/foreign_answers_test.cpp
@@ -0,0 +1,179 @@
+// Answers of the store, of workers and of the advice service that other systems got wrong.
+#define BOOST_TEST_MODULE foreign_answers
+#include "net/connection/encoding.h"
+#include "platform/platform.h"
+
+#include <boost/test/unit_test.hpp>
+#include <nlohmann/json.hpp>
+
+using namespace camphorwell;
+using nlohmann::json;
+
+namespace {
+
+constexpr uint16_t port = 19797;
+constexpr ms testTimeoutMs = 20'000; // Stops a test that hangs.
+const std::string address = "127.0.0.1:" + std::to_string(port);
+
+// A server that gives the same answer to every request, or one for each page of a list.
+struct fake_platform {
+    using responder = std::function<std::pair<int, std::string>(const http_request&)>;
+    explicit fake_platform(responder answerTo)
+        : server(loop, {},
+            [this, answerTo = std::move(answerTo)](
+                const http_request& request, const std::shared_ptr<http_reply>& reply) {
+                requests.push_back(request);
+                auto [status, body] = answerTo(request);
+                reply->send(status, {}, body);
+            })
+    {
+        BOOST_REQUIRE(static_cast<bool>(server.listen("127.0.0.1", port)));
+        loop.after(testTimeoutMs, [this] { loop.stop(); });
+        store.onUnreadable([this](const std::string&, const std::string& key, const std::string& error) {
+            unreadable.push_back(key + " " + error);
+        });
+    }
+
+    // Makes a call and runs the loop until its handler ran.
+    template <typename answer> answer run(const std::function<void(std::function<void(const answer&)>)>& call)
+    {
+        std::optional<answer> out;
+        call([&](const answer& received) {
+            BOOST_TEST(!out.has_value());
+            out = received;
+            loop.stop();
+        });
+        if (!out)
+            loop.run();
+        BOOST_REQUIRE(out.has_value());
+        return *out;
+    }
+    platform::append_answer append()
+    {
+        return run<platform::append_answer>([&](auto done) {
+            store.append({ "t", 0, { "record" }, {}, {} }, 2000, done);
+        });
+    }
+    platform::read_answer read()
+    {
+        return run<platform::read_answer>([&](auto done) { store.read("t", 0, 5, 0, done); });
+    }
+    platform::newest_answer readNewest()
+    {
+        return run<platform::newest_answer>([&](auto done) { store.readNewestByKey("t", 0, done); });
+    }
+    order_outcome start(const worker_id& worker)
+    {
+        start_action order { worker, { "5c0e7a21d94b36f8", 0, 0, 0 }, 1,
+            std::make_shared<const std::string>("text"), {}, {}, 1, 0 };
+        return run<order_outcome>([&](auto done) { workers.start(address, order, 1, done); });
+    }
+    order_outcome poll()
+    {
+        return run<order_outcome>([&](auto done) {
+            workers.poll(address, { "w", 0, std::nullopt, 0, 0 }, 1,
+                [done](order_outcome outcome, const worker_report&) { done(outcome); });
+        });
+    }
+    platform::store_outcome advise()
+    {
+        return run<platform::store_outcome>([&](auto done) {
+            advice.ask({ { "5c0e7a21d94b36f8", 0, 0, 0 }, { "w" } }, 2000,
+                [done](
+                    platform::store_outcome outcome, const std::vector<advised_worker>&) { done(outcome); });
+        });
+    }
+
+    event_loop loop;
+    std::vector<http_request> requests;
+    std::vector<std::string> unreadable;
+    http_server server;
+    platform::store store { loop, { address, 1, 1 << 20 } };
+    platform::worker_calls workers { loop };
+    platform::advice_calls advice { loop, address };
+};
+
+std::string repeated(const std::string& text, int times)
+{
+    std::string out;
+    for (int i = 0; i < times; i++)
+        out += text;
+    return out;
+}
+
+// Values of the wrong type, out of range or nested too deep, for a field of an answer.
+const std::vector<std::string> oddValues { "\"x\"", "7", "-1", "1e300", "1e999", "99999999999999999999",
+    "true", "null", "[]", "{}", "[1]", "{\"a\":1}", "\"\xff\"", "\"\\udcff\"",
+    repeated("[", 100'000) + repeated("]", 100'000),
+    repeated("{\"a\":", 100'000) + "1" + repeated("}", 100'000) };
+
+std::string item(const std::string& key, const std::string& value, int offset)
+{
+    return json { { "Key", key }, { "Value", encodeBase64(value) }, { "Offset", offset } }.dump();
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(fields_of_the_wrong_type_in_an_answer_do_not_end_the_process)
+{
+    using platform::store_outcome;
+    std::string body;
+    int status = 200;
+    fake_platform p([&](const http_request&) { return std::pair(status, body); });
+    auto inField = [](const std::string& field, const std::string& value) {
+        return "{\"" + field + "\":" + value + "}";
+    };
+    for (const auto& value : oddValues) {
+        status = 200;
+        body = value;
+        BOOST_TEST((p.append().outcome == store_outcome::no_answer));
+        BOOST_TEST((p.readNewest().outcome == store_outcome::malformed));
+        BOOST_TEST((p.poll() == order_outcome::malformed));
+        BOOST_TEST((p.advise() == store_outcome::refused));
+        body = inField("Good", value);
+        p.advise();
+        if (value != "7") {
+            body = inField("Offset", value);
+            BOOST_TEST((p.append().outcome == store_outcome::no_answer));
+            body = inField("End", value);
+            BOOST_TEST((p.readNewest().outcome == store_outcome::malformed));
+        }
+        body = "{\"End\":3,\"items\":" + value + "}";
+        p.readNewest();
+        body = "{\"End\":3,\"items\":[" + value + "]}";
+        p.readNewest();
+        body = "{\"End\":3,\"items\":[],\"HasMore\":" + value + "}";
+        p.readNewest();
+        status = 409;
+        body = inField("Reason", value);
+        BOOST_TEST((p.start("w") == order_outcome::no_answer));
+        body = value;
+        BOOST_TEST((p.start("w") == order_outcome::no_answer));
+    }
+}
+
+BOOST_AUTO_TEST_CASE(a_key_that_is_no_unicode_leaves_the_other_items_readable)
+{
+    for (const std::string key : { "odd\xff\xfe", "odd\\udcff", "odd\\ud800x" }) {
+        fake_platform p([&](const http_request&) {
+            return std::pair(200,
+                "{\"End\":9,\"items\":[" + item("a", "1", 3) + R"(,{"Key":")" + key
+                    + R"(","Value":"","Offset":1},)" + item("b\xc3\xb1", "2", 4) + "]}");
+        });
+        auto answer = p.readNewest();
+        BOOST_TEST((answer.outcome == platform::store_outcome::done));
+        BOOST_TEST(answer.items.size() == 3u);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(a_record_cut_at_the_start_of_an_answer_is_malformed)
+{
+    std::string body(16, '\0');
+    body += std::string("\0\0\x01\0abc", 7);
+    fake_platform p([&](const http_request&) { return std::pair(200, body); });
+    BOOST_TEST((p.read().outcome == platform::store_outcome::malformed));
+    body.insert(16, std::string("\0\0\0\x01r", 5));
+    auto answer = p.read();
+    BOOST_TEST((answer.outcome == platform::store_outcome::done));
+    BOOST_TEST(answer.nextOffset == 6u);
+}
