A call is not sent without one of its headers

The HTTP library refuses a header with a line break, and the client ignored that: the call was sent without it. For an order to a worker the missing header is the intended incarnation, so any worker at the address would carry it out. A NUL in a value cut the header.

an_order_is_not_sent_without_its_intended_incarnation failed before: three orders for ids with a line break or a NUL arrived without the header or with another id. The call now gets no response, which the caller already handles.

--- a/src/net/connection/http_client.cpp
+++ b/src/net/connection/http_client.cpp
@@ -103,16 +103,39 @@
         return EVHTTP_REQ_POST;
     }
 
+    // Returns false if a header has characters that a header cannot carry. The call must not be sent without
+    // it, since the server would take it for another one.
+    bool addHeaders(evhttp_request* request, const header_list& given) const
+    {
+        auto* headers = evhttp_request_get_output_headers(request);
+        evhttp_add_header(headers, "Host", address.c_str());
+        return std::all_of(given.begin(), given.end(), [headers](const auto& header) {
+            return header.second.find('\0') == std::string::npos
+                && evhttp_add_header(headers, header.first.c_str(), header.second.c_str()) == 0;
+        });
+    }
+
+    // Ends a call that was not sent.
+    void failCall(connection* conn)
+    {
+        handler callback = std::move(conn->callback);
+        closeLater(conn);
+        if (callback)
+            callback({});
+    }
+
     void startCall(connection* conn, pending_call pending)
     {
         conn->busy = true;
         conn->latestCall = ++callCount;
         conn->callback = std::move(pending.callback);
         evhttp_request* request = evhttp_request_new(onDone, conn);
+        if (!addHeaders(request, pending.headers)) {
+            evhttp_request_free(request);
+            failCall(conn);
+            return;
+        }
         auto* headers = evhttp_request_get_output_headers(request);
-        evhttp_add_header(headers, "Host", address.c_str());
-        for (const auto& [name, value] : pending.headers)
-            evhttp_add_header(headers, name.c_str(), value.c_str());
         // Announces the length of an empty body, too.
         if (pending.method != EVHTTP_REQ_GET)
             evhttp_add_header(headers, "Content-Length", std::to_string(pending.body.size()).c_str());
@@ -123,10 +146,7 @@
         evhttp_connection_set_timeout_tv(conn->handle, &limit);
         auto self = shared_from_this();
         if (evhttp_make_request(conn->handle, request, pending.method, pending.path.c_str()) != 0) {
-            handler callback = std::move(conn->callback);
-            closeLater(conn);
-            if (callback)
-                callback({});
+            failCall(conn);
             return;
         }
         bufferevent* bev = evhttp_connection_get_bufferevent(conn->handle);
--- a/src/net/net.h
+++ b/src/net/net.h
@@ -123,7 +123,8 @@
     http_client& operator=(const http_client&) = delete;
 
     // Calls `handler` with the response, possibly before `call` returns, and not at all if the client is
-    // destroyed first. `timeoutMs` does not include the wait for a free connection.
+    // destroyed first. `timeoutMs` does not include the wait for a free connection. A call with a header that
+    // cannot be sent, such as one with a line break, gets no response.
     void call(const std::string& method, const std::string& path, const header_list&, std::string body,
         int64_t timeoutMs, handler);
 
--- a/tests/platform/foreign_answers_test.cpp
+++ b/tests/platform/foreign_answers_test.cpp
@@ -177,3 +177,14 @@
     BOOST_TEST((answer.outcome == platform::store_outcome::done));
     BOOST_TEST(answer.nextOffset == 6u);
 }
+
+BOOST_AUTO_TEST_CASE(an_order_is_not_sent_without_its_intended_incarnation)
+{
+    fake_platform p([](const http_request&) { return std::pair(200, std::string("{}")); });
+    for (const worker_id& worker : { worker_id("w\r\nA: b"), worker_id("w\n"), worker_id("w\0", 2) })
+        BOOST_TEST((p.start(worker) == order_outcome::no_answer));
+    BOOST_TEST(p.requests.empty());
+    BOOST_TEST((p.start("w") == order_outcome::done));
+    BOOST_REQUIRE(p.requests.size() == 1);
+    BOOST_TEST(p.requests[0].headers.at("expect-instance") == "w");
+}
