A list continues after a key of any bytes

The next page of a list is asked for by the last key, which was put into the URL as it is. With `&` in it the page continued after another key, with a space or a line break the request line was broken, and the list could never be read: a new leader would not take its cell.

The key is now encoded; keys of letters, digits, `-`, `.`, `_` and `~` are sent as before.

--- a/src/net/connection/encoding.cpp
+++ b/src/net/connection/encoding.cpp
@@ -1,6 +1,9 @@
-// Encodings by OpenSSL.
+// Encodings by OpenSSL and libevent.
 #include "net/connection/encoding.h"
 
+#include <cstdlib>
+#include <event2/http.h>
+#include <memory>
 #include <openssl/evp.h>
 
 namespace camphorwell {
@@ -28,4 +31,11 @@
     return out;
 }
 
+std::string encodeQueryValue(const std::string& text)
+{
+    std::unique_ptr<char, decltype(&std::free)> encoded(
+        evhttp_uriencode(text.data(), static_cast<ev_ssize_t>(text.size()), 0), &std::free);
+    return encoded.get();
+}
+
 } // namespace camphorwell
--- a/tests/platform/foreign_answers_test.cpp
+++ b/tests/platform/foreign_answers_test.cpp
@@ -166,6 +166,25 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(a_page_continues_after_any_key)
+{
+    const std::vector<std::pair<std::string, std::string>> keys { { "i-7f3a91c2", "i-7f3a91c2" },
+        { "a&From=1", "a%26From%3D1" }, { "a b%#", "a%20b%25%23" }, { "a\r\nX: y", "a%0D%0AX%3A%20y" } };
+    for (const auto& [key, encoded] : keys) {
+        fake_platform p([&](const http_request& request) {
+            bool first = request.query.find("DependsOn") == std::string::npos;
+            return std::pair(200,
+                std::string("{\"End\":9,\"HasMore\":") + (first ? "true" : "false") + ",\"items\":["
+                    + item(first ? key : "z", "1", 3) + "]}");
+        });
+        auto answer = p.readNewest();
+        BOOST_TEST((answer.outcome == platform::store_outcome::done));
+        BOOST_TEST(answer.items.size() == 2u);
+        BOOST_REQUIRE(p.requests.size() == 2);
+        BOOST_TEST(p.requests[1].query == "Topic=t&part=0&DependsOn=" + encoded);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(a_record_cut_at_the_start_of_an_answer_is_malformed)
 {
     std::string body(16, '\0');
