A list that is cut is not taken for the whole

A list that repeats its page cost 1,000 calls each time.

a_list_that_is_cut_is_not_taken_for_the_whole and a_list_that_repeats_its_page_is_not_read_without_end failed before: outcome `done`, and 1000 requests instead of 2.

--- a/tests/platform/foreign_answers_test.cpp
+++ b/tests/platform/foreign_answers_test.cpp
@@ -166,6 +166,28 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(a_list_that_is_cut_is_not_taken_for_the_whole)
+{
+    int pages = 0;
+    fake_platform p([&](const http_request&) {
+        std::string key = "k" + std::to_string(pages++);
+        return std::pair(200, "{\"End\":9,\"HasMore\":true,\"items\":[" + item(key, "1", 3) + "]}");
+    });
+    BOOST_TEST((p.readNewest().outcome == platform::store_outcome::malformed));
+    BOOST_TEST(pages == 1000);
+    BOOST_REQUIRE(p.unreadable.size() == 1);
+    BOOST_TEST(p.unreadable[0] == "k999 the list has no end");
+}
+
+BOOST_AUTO_TEST_CASE(a_list_that_repeats_its_page_is_not_read_without_end)
+{
+    fake_platform p([&](const http_request&) {
+        return std::pair(200, "{\"End\":9,\"HasMore\":true,\"items\":[" + item("k", "1", 3) + "]}");
+    });
+    BOOST_TEST((p.readNewest().outcome == platform::store_outcome::malformed));
+    BOOST_TEST(p.requests.size() == 2u);
+}
+
 BOOST_AUTO_TEST_CASE(a_page_continues_after_any_key)
 {
     const std::vector<std::pair<std::string, std::string>> keys { { "i-7f3a91c2", "i-7f3a91c2" },
