A key of over 255 bytes is not encoded as another

Keys of ours are job ids, names of instances (200 characters at most by the schema) and constants, so a longer one is a broken invariant. Keys that the store lists come from other writers; one that is too long cannot have been written and is skipped with a line, so that it never reaches a record of ours.

--- a/tests/platform/foreign_answers_test.cpp
+++ b/tests/platform/foreign_answers_test.cpp
@@ -229,3 +229,20 @@
     BOOST_REQUIRE(p.requests.size() == 1);
     BOOST_TEST(p.requests[0].headers.at("expect-instance") == "w");
 }
+
+BOOST_AUTO_TEST_CASE(a_key_of_over_255_bytes_is_not_encoded_as_another)
+{
+    int broken = 0;
+    setInvariantHandler([&](const std::string&) { broken++; });
+    BOOST_TEST(
+        platform::decodeKeyedRecord(platform::encodeKeyedRecord(std::string(255, 'k'), "v"))->value == "v");
+    BOOST_TEST(broken == 0);
+    platform::encodeKeyedRecord(std::string(256, 'k'), "v");
+    BOOST_TEST(broken == 1);
+    setInvariantHandler({});
+    fake_platform p([](const http_request&) {
+        return std::pair(200, "{\"End\":9,\"items\":[" + item(std::string(256, 'k'), "1", 3) + "]}");
+    });
+    BOOST_TEST(p.readNewest().items.empty());
+    BOOST_TEST(p.unreadable.size() == 1u);
+}
