A value that is not base64 is not skipped silently

The decoder also took `=` in the middle of a value for a digit, and ignored white space around it.

an_item_that_cannot_be_read_is_reported_and_the_others_hold and a_value_that_is_not_base64_is_not_skipped_silently failed before.

--- a/src/net/connection/encoding.cpp
+++ b/src/net/connection/encoding.cpp
@@ -1,6 +1,7 @@
 // Encodings by OpenSSL and libevent.
 #include "net/connection/encoding.h"
 
+#include <algorithm>
 #include <cstdlib>
 #include <event2/http.h>
 #include <memory>
@@ -19,14 +20,18 @@
 
 std::optional<std::string> decodeBase64(const std::string& text)
 {
-    if (text.size() % 4 != 0)
+    constexpr size_t maxPadding = 2;
+    size_t padding = text.size() - (text.find_last_not_of('=') + 1);
+    // EVP_DecodeBlock skips white space around the text and takes '=' for a digit.
+    bool digitsOnly = text.find_first_of(" \t\r\n\v\f") == std::string::npos
+        && text.find('=') >= text.size() - std::min(padding, text.size());
+    if (text.size() % 4 != 0 || padding > maxPadding || !digitsOnly)
         return std::nullopt;
     std::string out(text.size() / 4 * 3, '\0');
     int length = EVP_DecodeBlock(reinterpret_cast<unsigned char*>(out.data()),
         reinterpret_cast<const unsigned char*>(text.data()), static_cast<int>(text.size()));
-    if (length < 0)
+    if (length < 0 || static_cast<size_t>(length) < padding)
         return std::nullopt;
-    size_t padding = text.empty() ? 0 : (text.back() == '=') + (text[text.size() - 2] == '=');
     out.resize(static_cast<size_t>(length) - padding);
     return out;
 }
--- a/tests/platform/foreign_answers_test.cpp
+++ b/tests/platform/foreign_answers_test.cpp
@@ -152,6 +152,28 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(an_item_that_cannot_be_read_is_reported_and_the_others_hold)
+{
+    for (const auto& value : oddValues) {
+        std::string odd = R"({"Key":"odd","Offset":1,"Value":)" + value + "}";
+        bool unreadableDocument = value == "1e999";
+        fake_platform p([&](const http_request&) {
+            return std::pair(200,
+                "{\"End\":9,\"items\":[" + item("a", "1", 3) + "," + odd + "," + item("b", "2", 4) + "]}");
+        });
+        auto answer = p.readNewest();
+        if (unreadableDocument) {
+            BOOST_TEST((answer.outcome == platform::store_outcome::malformed));
+            continue;
+        }
+        BOOST_TEST((answer.outcome == platform::store_outcome::done));
+        BOOST_REQUIRE(answer.items.size() == 2);
+        BOOST_TEST(answer.items[1].value == "2");
+        BOOST_REQUIRE(p.unreadable.size() == 1);
+        BOOST_TEST(p.unreadable[0].starts_with("odd Value: "));
+    }
+}
+
 BOOST_AUTO_TEST_CASE(a_key_that_is_no_unicode_leaves_the_other_items_readable)
 {
     for (const std::string key : { "odd\xff\xfe", "odd\\udcff", "odd\\ud800x" }) {
@@ -166,6 +188,26 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(a_value_that_is_not_base64_is_not_skipped_silently)
+{
+    for (const char* text : { "abc", "ab=c", "a===", "====", "ab c", "abc ", " abc", "!!!!", "YWJj\n" }) {
+        BOOST_TEST(!decodeBase64(text), text);
+        fake_platform p([&](const http_request&) {
+            json odd { { "Key", "odd" }, { "Value", text }, { "Offset", 1 } };
+            return std::pair(200, json { { "End", 9 }, { "items", { odd } } }.dump());
+        });
+        BOOST_TEST(p.readNewest().items.empty());
+        BOOST_TEST(p.unreadable == std::vector<std::string> { "odd Value: must be base64" },
+            boost::test_tools::per_element());
+    }
+    for (int length = 0; length < 70; length++) {
+        std::string bytes;
+        for (int i = 0; i < length; i++)
+            bytes += static_cast<char>(i * 37 + length);
+        BOOST_TEST((decodeBase64(encodeBase64(bytes)) == bytes));
+    }
+}
+
 BOOST_AUTO_TEST_CASE(a_list_that_is_cut_is_not_taken_for_the_whole)
 {
     int pages = 0;
