A deeply nested record does not overflow the stack

The reader of CBOR recurses for each level, and throws for a stated length that no memory holds even where exceptions are switched off. One record of 100,000 nested arrays in the log of jobs ended all instances by SIGSEGV, each new leader at its takeover; 900,000 in the claims or the directory of instances did the same; an array of 2^63 - 1 items in the progress topic threw out of the callback. The names of hosts in the directory of instances would have been resolved by a blocking call.

Depth (16) and stated lengths are now checked before a record is decoded; the check stops at the first excess. Announcements of instances are read with types and an IP address.

--- a/src/scheduler/process/cell_host.cpp
+++ b/src/scheduler/process/cell_host.cpp
@@ -108,7 +108,7 @@
 {
     std::optional<claim_record> newest;
     for (const auto& item : items) {
-        if (item.key == claimKey)
+        if (item.key == claimKey && cborIsBounded(item.value, maxRecordDepth))
             newest = decodeClaim(item.value);
     }
     election.onClaimRead(newest, end, bootNow());
--- a/src/scheduler/process/cell_host_recovery.cpp
+++ b/src/scheduler/process/cell_host_recovery.cpp
@@ -71,9 +71,13 @@
                                     .add("records", static_cast<int64_t>(answer.items.size()))
                                     .add("end", static_cast<int64_t>(answer.end)));
         for (const auto& item : answer.items) {
-            if (item.key == loadModelKey)
+            if (item.value.empty())
+                continue;
+            if (!cborIsBounded(item.value, maxRecordDepth))
+                context.log.writeAlways(log_line("progress_unreadable").add("job", item.key));
+            else if (item.key == loadModelKey)
                 ledCell->restoreLoadModel(item.value);
-            else if (!item.value.empty())
+            else
                 ledCell->restoreProgress(item.key, item.value);
         }
         onRecoveryStepDone(term);
--- a/src/scheduler/process/cell_host_state.h
+++ b/src/scheduler/process/cell_host_state.h
@@ -3,9 +3,12 @@
 
 #include "scheduler/process/job_tombstones.h"
 #include "scheduler/scheduler.h"
+#include "schema/field_reader.h"
 
 namespace camphorwell {
 
+constexpr int maxRecordDepth = 16; // Of records in the store; more than any format of ours nests.
+
 // Read position in one partition of the cell's jobs topic.
 struct job_cursor {
     int partition = 0;
--- a/src/scheduler/process/cell_host_work.cpp
+++ b/src/scheduler/process/cell_host_work.cpp
@@ -214,7 +214,9 @@
         ledCell->cancel(item.key.substr(1));
         return;
     }
-    auto record = decodeJob(item.value);
+    std::optional<job_record> record;
+    if (cborIsBounded(item.value, maxRecordDepth))
+        record = decodeJob(item.value);
     if (!record) {
         context.counts["job_unreadable"]++;
         context.log.writeAlways(log_line("job_unreadable").add("id", item.key));
--- a/src/scheduler/version/instances.cpp
+++ b/src/scheduler/version/instances.cpp
@@ -2,6 +2,7 @@
 // reads the announcements of the others. The directory is needed while the store is slow or does not answer;
 // the last successful read is used then.
 #include "scheduler/scheduler.h"
+#include "schema/field_reader.h"
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
@@ -17,7 +18,29 @@
     constexpr ms announceTimeoutMs = 1'500;
     constexpr ms exclusionMs = 5'000;
     constexpr int announcementFormat = 1;
+    constexpr int announcementDepth = 4; // More than the format nests.
     const char* const topicName = "instances";
+
+    struct announcement {
+        std::string address; // HOST:PORT
+        std::string dataCentre;
+        int64_t writtenUnixMs = 0;
+    };
+
+    std::optional<announcement> readAnnouncement(const std::string& bytes)
+    {
+        if (!cborIsBounded(bytes, announcementDepth))
+            return std::nullopt;
+        json row = json::from_cbor(bytes, true, false);
+        bool readable = row.is_array() && row.size() >= 4 && row[0].is_number_unsigned()
+            && row[0] <= announcementFormat && row[1].is_string() && row[2].is_string()
+            && row[3].is_number_unsigned() && row[3] <= maxExactInteger;
+        if (!readable)
+            return std::nullopt;
+        announcement out { row[1], row[2], row[3] };
+        auto [host, port] = platform::splitAddress(out.address);
+        return port != 0 && isNumericAddress(host) ? std::optional(out) : std::nullopt;
+    }
 } // namespace
 
 instance_directory::instance_directory(scheduler_context& context)
@@ -90,17 +113,14 @@
     std::vector<std::string> local { m_self };
     std::vector<std::string> remote;
     for (const auto& item : items) {
-        try {
-            json row = json::from_cbor(item.value, true, false);
-            if (!row.is_array() || row.at(0).get<int>() > announcementFormat)
-                continue;
-            std::string address = row.at(1);
-            if (address == m_self || unixNow() - row.at(3).get<int64_t>() > announcementTtlMs)
-                continue;
-            (row.at(2) == m_context.settings.dataCentre ? local : remote).push_back(std::move(address));
-        } catch (const json::exception&) {
+        auto read = readAnnouncement(item.value);
+        if (!read) {
             m_context.counts["announcement_unreadable"]++;
+            continue;
         }
+        if (read->address == m_self || unixNow() - read->writtenUnixMs > announcementTtlMs)
+            continue;
+        (read->dataCentre == m_context.settings.dataCentre ? local : remote).push_back(read->address);
     }
     m_aggregatorOrder = local;
     std::sort(m_aggregatorOrder.begin(), m_aggregatorOrder.end(),
--- a/src/schema/field_reader.cpp
+++ b/src/schema/field_reader.cpp
@@ -45,6 +45,46 @@
         return out;
     }
 
+    // Stops at the first array or object that is nested too deep or claims more items than there are bytes.
+    class bounds_check : public nlohmann::json_sax<json> {
+    public:
+        bounds_check(size_t bytes, int maxDepth)
+            : m_bytes(bytes)
+            , m_depthLeft(maxDepth)
+        {
+        }
+        bool null() override { return true; }
+        bool boolean(bool) override { return true; }
+        bool number_integer(number_integer_t) override { return true; }
+        bool number_unsigned(number_unsigned_t) override { return true; }
+        bool number_float(number_float_t, const string_t&) override { return true; }
+        bool string(string_t&) override { return true; }
+        bool binary(binary_t&) override { return true; }
+        bool key(string_t&) override { return true; }
+        bool start_object(size_t length) override { return enter(length); }
+        bool start_array(size_t length) override { return enter(length); }
+        bool end_object() override { return leave(); }
+        bool end_array() override { return leave(); }
+        bool parse_error(size_t, const std::string&, const nlohmann::detail::exception&) override
+        {
+            return false;
+        }
+
+    private:
+        bool enter(size_t length)
+        {
+            constexpr auto unknownLength = static_cast<size_t>(-1);
+            return m_depthLeft-- > 0 && (length == unknownLength || length <= m_bytes);
+        }
+        bool leave()
+        {
+            m_depthLeft++;
+            return true;
+        }
+        size_t m_bytes;
+        int m_depthLeft;
+    };
+
 } // namespace
 
 field_reader::field_reader(const json& node, std::string& error, std::string path)
@@ -201,4 +241,10 @@
     return out; // Moved: copying a document recurses.
 }
 
+bool cborIsBounded(std::string_view bytes, int maxDepth)
+{
+    bounds_check check(bytes.size(), maxDepth);
+    return json::sax_parse(bytes, &check, json::input_format_t::cbor);
+}
+
 } // namespace camphorwell
--- a/src/schema/field_reader.h
+++ b/src/schema/field_reader.h
@@ -66,4 +66,8 @@
 // the rest of the document unreadable.
 nlohmann::json parseRepairedDocument(std::string_view bytes, std::string& error);
 
+// Whether a CBOR document nests at most `maxDepth` deep and states no length beyond its own. The JSON
+// library's reader of CBOR recurses, and throws on impossible lengths.
+bool cborIsBounded(std::string_view bytes, int maxDepth);
+
 } // namespace camphorwell
--- a/tests/platform/platform_test.cpp
+++ b/tests/platform/platform_test.cpp
@@ -310,6 +310,22 @@
     BOOST_TEST(!platform::readConfiguration(deepObject));
 }
 
+BOOST_AUTO_TEST_CASE(only_bounded_records_pass_the_check)
+{
+    const std::string shallow = "\x82\x01\x81\x02"; // [1, [2]]
+    BOOST_TEST(cborIsBounded(shallow, 2));
+    BOOST_TEST(!cborIsBounded(shallow, 1));
+    BOOST_TEST(!cborIsBounded(std::string(1'000'000, '\x81') + "\x01", 16));
+    BOOST_TEST(!cborIsBounded(std::string(1'000'000, '\x9f'), 16)); // Arrays of unknown length
+    std::string maps;
+    for (int i = 0; i < 100'000; i++)
+        maps += "\xa1\x60";
+    BOOST_TEST(!cborIsBounded(maps + "\x01", 16));
+    BOOST_TEST(!cborIsBounded(std::string("\x9b\x7f\xff\xff\xff\xff\xff\xff\xff", 9), 16));
+    BOOST_TEST(!cborIsBounded("", 16));
+    BOOST_TEST(!cborIsBounded(shallow + "\x01", 16));
+}
+
 // No decoder crashes or throws on corrupted input.
 BOOST_AUTO_TEST_CASE(corrupted_input_does_not_crash_the_decoders)
 {
--- a/tests/process/odd_entries_test.cpp
+++ b/tests/process/odd_entries_test.cpp
@@ -261,3 +261,16 @@
     BOOST_TEST(f.waitUntil([&] { return f.logged("event=worker_unreadable") >= 2; }));
     f.checkInUse();
 }
+
+BOOST_AUTO_TEST_CASE(deeply_nested_records_do_not_end_a_scheduler)
+{
+    fleet f;
+    const std::string deep = std::string(900'000, '\x81') + "\x01";
+    const std::string endless("\x9b\x7f\xff\xff\xff\xff\xff\xff\xff", 9); // An array of 2^63 - 1 items.
+    f.append("jobs-0", "00000000000000f1", deep);
+    f.append("jobs-0", "00000000000000f2", endless);
+    f.append("progress-0", "00000000000000f1", deep);
+    f.append("progress-0", "00000000000000f2", endless);
+    f.append("instances", "odd", deep);
+    f.checkInUse();
+}
