A report with numbers out of range is rejected

A clock near the end of int64 overflowed the sum with the lease, a run of 2^32 was run 0, and a number of a completion of -1 would have hidden all later completions of the worker, whose ends are then never acknowledged.

--- a/tests/platform/platform_test.cpp
+++ b/tests/platform/platform_test.cpp
@@ -247,6 +247,24 @@
     BOOST_TEST(errorOf("\"" + std::string(100'000, 'x')).size() < 100u);
 }
 
+BOOST_AUTO_TEST_CASE(a_report_with_numbers_out_of_range_is_rejected)
+{
+    platform::report_reader reader;
+    const json valid = json::parse(report);
+    for (const char* field : { "/ClockMs", "/born", "/Running/0/1", "/Running/0/3", "/Running/0/4",
+             "/Finished/0/0", "/Finished/0/2" }) {
+        for (const auto& value : hugeNumbers)
+            BOOST_TEST(!reader.read(withField(valid, field, value)), field << " " << value);
+    }
+    for (const char* field : { "/Running/0/1", "/Running/0/3", "/Finished/0/0", "/Finished/0/2" })
+        BOOST_TEST(!reader.read(withField(valid, field, "-1")), field);
+    BOOST_TEST(!reader.read(withField(valid, "/Running/0/1", "4294967296")));
+    BOOST_TEST(!reader.read(withField(valid, "/Running", deepArray)));
+    BOOST_TEST(!reader.read(withField(valid, "/Unknown", deepObject)));
+    BOOST_TEST(!reader.read(deepArray));
+    BOOST_TEST(reader.read(report).has_value());
+}
+
 BOOST_AUTO_TEST_CASE(a_configuration_is_read)
 {
     auto read = platform::readConfiguration(configuration);
