--- a/src/entry/process/daemon.cpp
+++ b/src/entry/process/daemon.cpp
@@ -1,6 +1,8 @@
 // The event loop of the node: carries out its actions and passes the answers back as events.
 #include "entry/process/daemon.h"
 
+#include "schema/field_reader.h"
+
 #include <glog/logging.h>
 
 namespace camphorwell {
@@ -13,6 +15,10 @@
     constexpr int64_t registerIntervalMs = 500;
     constexpr int64_t platformCallTimeoutMs = 2500;
     constexpr int64_t drainPollMs = 50;
+    constexpr int unreadableMachinesPerLine = 100;
+    constexpr int maxMessageDepth = 32; // More than any message nests.
+    constexpr number_range portRange { 0, std::numeric_limits<uint16_t>::max() };
+    constexpr number_range offsetRange { 0, std::numeric_limits<int64_t>::max() };
 
     const header_list jsonHeaders = { { "Content-Type", "application/json" } };
 
@@ -144,15 +150,20 @@
         "GET", path, {}, "", platformCallTimeoutMs, [this, call = act.call](const http_response& response) {
             read_reply reply;
             reply.call = call;
-            auto body = nlohmann::json::parse(response.body, nullptr, false);
-            if (response.status == 200 && body.is_object()) {
-                reply.ok = true;
-                reply.first = body.value("first", int64_t { 0 });
-                reply.next = body.value("next", int64_t { 0 });
-                reply.atEnd = body.value("end", false);
-                for (const auto& record : body["records"])
-                    reply.records.push_back(
-                        { record.value("o", int64_t { 0 }), record.value("d", std::string()) });
+            if (response.status == 200) {
+                std::string error;
+                auto body = parseDocument(response.body, error);
+                field_reader in(body, error);
+                reply.first = in.number("first", offsetRange, 0);
+                reply.next = in.number("next", offsetRange, 0);
+                reply.atEnd = in.flag("end", false);
+                const auto* records = in.find("records");
+                reply.ok = error.empty() && records && records->is_array();
+                // Readers skip a record without data, so one that cannot be read does not hold up the others.
+                for (const field_reader& record : in.objects("records"))
+                    reply.records.push_back({ record.number("o", offsetRange, 0), record.text("d", "") });
+                if (!error.empty())
+                    LOG(WARNING) << log_line("log_answer_malformed").add("error", error).str();
             }
             handleEvent(reply);
         });
@@ -164,24 +175,47 @@
 {
     std::string path = "/list?dc=" + settings.node.dataCentre;
     platform.call("GET", path, {}, "", platformCallTimeoutMs, [this](const http_response& response) {
-        auto body = nlohmann::json::parse(response.body, nullptr, false);
-        if (response.status != 200 || !body.is_object())
+        if (response.status != 200)
+            return;
+        std::string error;
+        auto body = parseRepairedDocument(response.body, error);
+        const auto* machines = field_reader(body, error).find("machines");
+        if (!machines || !machines->is_array()) {
+            LOG(WARNING) << log_line("machine_list_malformed").add("error", error).str();
             return;
-        platform_list list;
-        for (const auto& machine : body["machines"]) {
-            std::string id = machine.value("id", std::string());
-            if (machine.value("kind", std::string()) != "worker") {
-                list.instances.push_back(id);
-                continue;
-            }
-            list.workers.push_back(
-                { id, machine.value("rack", std::string()), machine.value("leaving", false) });
-            connectWorker(id, machine.value("address", std::string()), machine.value("port", uint16_t { 0 }));
         }
+        platform_list list;
+        for (const auto& machine : *machines)
+            addMachine(machine, list);
         handleEvent(list);
     });
 }
 
+// Adds a machine of the platform's list. One that cannot be read is skipped, and the others hold.
+void entry_daemon::parts::addMachine(const nlohmann::json& machine, platform_list& list)
+{
+    std::string error;
+    field_reader in(machine, error);
+    std::string id = in.text("id");
+    bool isWorker = in.text("kind") == "worker";
+    platform_list::worker worker { id, in.text("rack", ""), in.flag("leaving", false) };
+    std::string address = in.text("address", "");
+    auto port = static_cast<uint16_t>(in.number("port", portRange, 0));
+    if (isWorker && (port == 0 || !isNumericAddress(address)))
+        in.fail("address", "must be an IP address and a port");
+    if (!error.empty()) {
+        LOG_EVERY_N(WARNING, unreadableMachinesPerLine)
+            << log_line("machine_unreadable").add("id", id).add("error", error).str();
+        return;
+    }
+    if (!isWorker) {
+        list.instances.push_back(id);
+        return;
+    }
+    list.workers.push_back(worker);
+    connectWorker(id, address, port);
+}
+
 void entry_daemon::parts::connectWorker(const worker_id& id, const std::string& address, uint16_t port)
 {
     std::string where = address + ":" + std::to_string(port);
@@ -209,6 +243,8 @@
         peer_message received;
         received.from = { from.instance, from.incarnation, false };
         received.dataCentre = from.dataCentre;
+        if (!cborIsBounded(payload, maxMessageDepth))
+            throw std::invalid_argument("the message nests too deep");
         received.message = messageFromJson(nlohmann::json::from_cbor(payload));
         handleEvent(received);
     } catch (const std::exception& error) {
--- a/src/entry/process/daemon.h
+++ b/src/entry/process/daemon.h
@@ -37,6 +37,7 @@
     void onPeer(const peer_identity&, const std::string& payload);
     void onLinkFault(link_fault, const std::string& instance);
     void readMachineList();
+    void addMachine(const nlohmann::json&, platform_list&);
     void registerSelf();
     void connectWorker(const worker_id&, const std::string& address, uint16_t port);
     void waitDrained();
--- a/tests/process/failure_test.cpp
+++ b/tests/process/failure_test.cpp
@@ -288,3 +288,26 @@
     std::string metrics = r.d.call(port, "GET", "/metrics").body();
     BOOST_TEST(metrics.find("reason=\"peer_wrong_key\"} 1") != std::string::npos);
 }
+
+BOOST_AUTO_TEST_CASE(odd_machine_in_the_platforms_list_does_not_end_an_instance)
+{
+    failure_fixture f(21950);
+    const std::vector<std::string> fields { R"("kind":7)", R"("kind":"worker","port":"x")",
+        R"("kind":"worker","port":99999)", R"("kind":"worker","port":1e300)",
+        R"("kind":"worker","address":[])", R"("kind":"worker","rack":{},"port":1)",
+        R"("kind":"worker","leaving":"no","port":1)",
+        R"("kind":"worker","address":"worker.invalid","port":80)" };
+    constexpr int64_t listedMs = 1500; // Several reads of the list.
+    auto until = event_loop::now() + milliseconds(listedMs);
+    while (event_loop::now() < until) {
+        for (size_t i = 0; i < fields.size(); i++) {
+            std::string body = R"({"dc":"north","id":"odd)" + std::to_string(i) + "\"," + fields[i] + "}";
+            BOOST_REQUIRE(f.d.call(f.d.platformPort(), "POST", "/register", {}, body).status == 200);
+        }
+        std::this_thread::sleep_for(milliseconds(200));
+    }
+    for (const auto& instance : f.d.instances()) {
+        BOOST_TEST(f.d.ready(instance), instance);
+        BOOST_TEST(f.plan(instance, 5).status == 200, instance);
+    }
+}
