A deeply nested document breaks every schema

The error of a document quotes the value, and the JSON library recurses when it writes or copies one: a catalogue record or a settings file nested 100,000 deep overflowed the stack (30,000 passed). Any writer of the log could end all instances so. Documents may now nest 100 levels deep.

Before, a small program that parsed such an entry ended by SIGSEGV; a_deeply_nested_catalogue_record_is_skipped passes now.

--- a/src/schema/schema.cpp
+++ b/src/schema/schema.cpp
@@ -1,6 +1,7 @@
 // Validates with valijson. The rule in an error is composed from the schema at the path of the field.
 #include "schema/schema.h"
 
+#include <algorithm>
 #include <set>
 #include <valijson/adapters/nlohmann_json_adapter.hpp>
 #include <valijson/schema.hpp>
@@ -15,6 +16,16 @@
     using nlohmann::json;
 
     constexpr size_t maxValueLength = 100; // Longer values are cut in errors.
+    constexpr int maxNesting = 100; // The JSON library recurses when it copies or writes a document.
+
+    bool nestsDeeper(const json& node, int depth)
+    {
+        if (!node.is_structured())
+            return false;
+        return depth == 0 || std::any_of(node.begin(), node.end(), [depth](const json& item) {
+            return nestsDeeper(item, depth - 1);
+        });
+    }
 
     // Turns valijson's context ("<root>", "[limits]", "[2]") into a JSON pointer.
     json::json_pointer toPointer(const std::vector<std::string>& context)
@@ -125,6 +136,8 @@
 
 std::vector<field_error> validateJson(const json& document, const json& schema)
 {
+    if (nestsDeeper(document, maxNesting))
+        return { { "/", "a document", "must nest at most " + std::to_string(maxNesting) + " levels deep" } };
     valijson::Schema parsed;
     valijson::SchemaParser parser;
     valijson::adapters::NlohmannJsonAdapter schemaAdapter(schema);
--- a/tests/unit_test.cpp
+++ b/tests/unit_test.cpp
@@ -216,6 +216,19 @@
     BOOST_TEST(c.find("plan")->entry.limits.maxConcurrent == 2);
 }
 
+BOOST_AUTO_TEST_CASE(a_deeply_nested_catalogue_record_is_skipped)
+{
+    const std::string deep = std::string(200'000, '[') + std::string(200'000, ']');
+    catalogue c;
+    catalogue_record odd = record(0, "c", 0, 10);
+    odd.body = R"({"name":"plan","owner":)" + deep + "}";
+    c.apply(odd);
+    BOOST_TEST(c.entries().empty());
+    std::vector<field_error> errors;
+    BOOST_TEST(!parseEntry(json::parse(deep), errors).has_value());
+    BOOST_TEST(errors.size() == 1u);
+}
+
 // Restoring a snapshot taken at any offset of a random stream and applying the stream gives the catalogue of
 // a full replay.
 BOOST_AUTO_TEST_CASE(a_snapshot_plus_the_remaining_records_equals_a_full_replay)
