Stand-in store: a late repetition of a fence keeps the sequence

What a test would see: a leader whose fence was carried out twice, the second time late, had its next append of progress refused as out of order, which the platform does not do for an append of the same epoch.

Change: only a higher epoch sets the sequence of a call without records. Measured: fleet_process_test passes.

--- a/standins/store_standin.cpp
+++ b/standins/store_standin.cpp
@@ -192,8 +192,10 @@
             if (sequence != state.sequence + 1)
                 return reply->send(409, {}, json { { "Reason", "seq" } }.dump());
         }
+        // A late repetition of the call that set the epoch leaves the sequence as it is.
+        if (epoch > state.epoch || !request.body.empty())
+            state.sequence = sequence;
         state.epoch = epoch;
-        state.sequence = sequence;
     }
     size_t position = 0;
     while (position + 4 <= request.body.size()) {
