--- a/tests/process/fleet_process_test.cpp
+++ b/tests/process/fleet_process_test.cpp
@@ -41,7 +41,7 @@
 
     std::string follower()
     {
-        std::string leader = d.leader();
+        std::string leader = d.waitForLeader();
         for (const auto& each : d.instances()) {
             if (each != leader)
                 return each;
@@ -59,7 +59,7 @@
 
     void replaceLeader()
     {
-        std::string killed = d.leader();
+        std::string killed = d.waitForLeader();
         BOOST_REQUIRE(!killed.empty());
         d.kill(killed);
         BOOST_REQUIRE(!d.waitForLeader(killed).empty());
@@ -69,7 +69,8 @@
 
     void waitForCounter(const std::string& name, int64_t atLeast)
     {
-        BOOST_REQUIRE(d.waitUntil(deletionTimeoutMs, [&] { return d.counter(d.leader(), name) >= atLeast; }));
+        BOOST_REQUIRE(
+            d.waitUntil(deletionTimeoutMs, [&] { return d.counter(d.waitForLeader(), name) >= atLeast; }));
     }
 
     void checkEachTaskRanOnce(int tasks = jobs)
@@ -105,7 +106,7 @@
     void repeatSubmissions(const std::string& instance)
     {
         finishJobs(instance);
-        waitForCounter("jobs_deleted", jobs);
+        waitForCounter("job_records_deleted", jobs);
         for (int i = 0; i < jobs; i++)
             BOOST_REQUIRE(d.submitTask(instance, path(i), "work_ms=50"));
         pause(longKeepSeconds * 1000 + settleMs);
@@ -144,9 +145,9 @@
 BOOST_FIXTURE_TEST_CASE(dropped_history_of_the_job_log_runs_nothing_again, long_retention_fixture)
 {
     std::string instance = follower();
-    std::string leader = d.leader();
+    std::string leader = d.waitForLeader();
     repeatSubmissions(instance);
-    BOOST_REQUIRE(d.leader() == leader);
+    BOOST_REQUIRE(d.waitForLeader() == leader);
     d.signal(leader, SIGSTOP);
     for (int i = 0; i < 2; i++)
         BOOST_REQUIRE(d.submitTask(instance, path(jobs + i), "work_ms=50"));
