Test that the records of a cancelled job leave the log, the cancel last

The deletion of cancels was covered at the level of a cell and of job_tombstones; this case covers the leader between them and the store: the key of a cancel in the log, and the order of the two tombstones.

Measured: leader_test and retention_test pass.

--- a/tests/scheduler/leader_test.cpp
+++ b/tests/scheduler/leader_test.cpp
@@ -264,3 +264,25 @@
     f.leader.runFor(500);
     BOOST_TEST(f.worker.polls > polls);
 }
+
+BOOST_AUTO_TEST_CASE(records_of_a_cancelled_job_leave_the_log_the_cancel_last)
+{
+    fixture f;
+    const std::string cancelKey = "x" + jobId(1);
+    f.putJob(1);
+    f.log.put(jobsTopic, cancelKey, "x");
+    f.lead();
+    std::vector<std::string> deletedKeys;
+    f.leader.runUntil(15'000, [&] {
+        deletedKeys.clear();
+        for (const auto& record : f.log.topics[jobsTopic]) {
+            if (auto item = platform::decodeKeyedRecord(record); item->value.empty())
+                deletedKeys.push_back(item->key);
+        }
+        return deletedKeys.size() == 2;
+    });
+    BOOST_REQUIRE(deletedKeys.size() == 2);
+    BOOST_TEST(deletedKeys[0] == jobId(1));
+    BOOST_TEST(deletedKeys[1] == cancelKey);
+    BOOST_TEST((f.leader.host.stateOf(jobId(1)).value().state == job_state::cancelled));
+}
