An outage of the store does not use up the retention of finished jobs

What callers would see: a caller that got no answer to a submission repeats it throughout an outage of the store that lasts longer than keepSeconds. The job had been accepted and had ended before the outage; after it, it runs again.

Cause: the retention is measured by what has been read of the job log. The first read after the outage moves that time past the end of the retention at once, and the job is forgotten before the repetitions of the callers arrive.

Evidence: repetition_after_an_outage_of_the_store_does_not_run_the_job_again failed before.

Change: time in which the job log was not read for more than 5 s does not count towards the retention.

Why this works: a finished job is kept for keepSeconds in which callers could reach the log; it is never kept for a shorter time than before.

--- a/src/jobs/process/cell.cpp
+++ b/src/jobs/process/cell.cpp
@@ -16,6 +16,7 @@
     // Deadline of a service task to be placed again. It may be away for 9 s, which leaves 3 s for capacity to
     // become free.
     constexpr ms serviceRestartDeadlineMs = 6'000;
+    constexpr ms maxReadIntervalMs = 5'000; // Between two reads of the job log; longer is an outage.
     constexpr ms clockSlackMs = 20; // Clocks of instances differ by a few milliseconds.
 
     // The critical path of the job: the largest sum of estimates along a chain of dependent steps.
@@ -54,7 +55,7 @@
         m_model->countRecord(*found->second);
 }
 
-void cell::setJobLogReadUpTo(ms readUpTo) { m_model->jobLogReadUpTo = readUpTo; }
+void cell::setJobLogReadUpTo(ms readUpTo) { m_model->setJobLogReadUpTo(readUpTo); }
 
 void cell::onJobRecordsDeleted(const forget_job_action& deleted, ms now)
 {
@@ -199,22 +200,34 @@
 {
     if (!job.isDurablyOver() || job.recordsRead != job.recordsDeleted)
         return;
-    job.retainedSince = now;
-    finishedJobs.emplace_back(now, job.id);
+    job.retainedSince = now - unreadMs;
+    finishedJobs.emplace_back(job.retainedSince, job.id);
 }
 
 // The retention is measured by what has been read of the job log, so that a repeated submission that was
 // appended during the retention is still recognised.
 bool cell_model::retentionIsOver(const job_run& job) const
 {
-    return job.recordsRead == job.recordsDeleted
-        && job.retainedSince + settings.finishedRetentionMs < jobLogReadUpTo;
+    return job.recordsRead == job.recordsDeleted && isPastRetention(job.retainedSince);
+}
+
+bool cell_model::isPastRetention(ms retainedSince) const
+{
+    return retainedSince + settings.finishedRetentionMs < jobLogReadUpTo - unreadMs;
+}
+
+// Time in which the job log could not be read does not count towards the retention: callers repeat after an
+// outage of the store what they sent before.
+void cell_model::setJobLogReadUpTo(ms readUpTo)
+{
+    if (jobLogReadUpTo != 0)
+        unreadMs += std::max<ms>(0, readUpTo - jobLogReadUpTo - maxReadIntervalMs);
+    jobLogReadUpTo = readUpTo;
 }
 
 void cell_model::dropOldJobs()
 {
-    while (
-        !finishedJobs.empty() && finishedJobs.front().first + settings.finishedRetentionMs < jobLogReadUpTo) {
+    while (!finishedJobs.empty() && isPastRetention(finishedJobs.front().first)) {
         jobsToDrop.push_back(finishedJobs.front().second);
         finishedJobs.pop_front();
     }
--- a/src/jobs/process/cell_model.h
+++ b/src/jobs/process/cell_model.h
@@ -125,7 +125,7 @@
     uint32_t recordsRead
         = 0; // Log records of the job that were read: submissions and cancels, also repeated.
     uint32_t recordsDeleted = 0; // Value of `recordsRead` at the last confirmed deletion.
-    // When the job was durably finished and its records deleted, whichever was later.
+    // When the job was durably finished and its records deleted, whichever was later; without `unreadMs`.
     ms retainedSince = 0;
     uint64_t sequence = 0;
     int64_t nextOccurrence = 0;
@@ -306,7 +306,8 @@
     std::set<job_run*> periodicJobs; // Jobs with occurrences still to be opened.
     // Durably finished jobs without log records, with job_run::retainedSince, oldest first.
     std::deque<std::pair<ms, job_id>> finishedJobs;
-    ms jobLogReadUpTo = 0;
+    ms jobLogReadUpTo = 0; // 0 until it is known.
+    ms unreadMs = 0; // Time in which the job log could not be read.
     std::map<std::string, service_pool> servicePools; // The pools by service name.
     ms lastPlacedAt = 0;
     ms sortedAt = 0; // When the dispatch keys were last recomputed.
@@ -357,6 +358,8 @@
     void countRecord(job_run&);
     void requestDeletion(job_run&);
     bool retentionIsOver(const job_run&) const;
+    bool isPastRetention(ms retainedSince) const;
+    void setJobLogReadUpTo(ms);
     void dropOldJobs();
     step_run* findStep(const task_ref&);
 
--- a/tests/jobs/retention_test.cpp
+++ b/tests/jobs/retention_test.cpp
@@ -195,3 +195,18 @@
     driver.scheduler.addJob("j", singleStepJob(1));
     BOOST_TEST(!driver.scheduler.takeWrite(driver.now).has_value());
 }
+
+BOOST_AUTO_TEST_CASE(repetition_after_an_outage_of_the_store_does_not_run_the_job_again)
+{
+    cell_driver driver;
+    finishJob(driver, "j");
+    auto requests = driver.take<forget_job_action>();
+    BOOST_REQUIRE(requests.size() == 1);
+    driver.scheduler.onJobRecordsDeleted(requests[0], driver.now);
+    driver.scheduler.setJobLogReadUpTo(driver.now);
+    driver.now += pastRetentionMs;
+    driver.scheduler.setJobLogReadUpTo(driver.now); // The first read after the outage.
+    driver.runOnce();
+    driver.scheduler.addJob("j", singleStepJob(1));
+    BOOST_TEST((driver.scheduler.stateOf("j") == job_state::completed));
+}
