leader_test takes ports of its own in each process

What was seen: in one run six of its seven tests failed while another process ran the same test; the store could not listen, since the ports were fixed. With nothing else on the ports the same binary passes.

The ports now follow from the process's number. Measured: two copies at once and two more runs in turn, all four without an error.

--- a/tests/scheduler/leader_test.cpp
+++ b/tests/scheduler/leader_test.cpp
@@ -7,15 +7,17 @@
 #include <atomic>
 #include <boost/test/unit_test.hpp>
 #include <thread>
+#include <unistd.h>
 
 using namespace camphorwell;
 using namespace camphorwell::testing;
 
 namespace {
 
-constexpr uint16_t storePort = 19811;
-constexpr uint16_t workerPort = 19812;
-constexpr uint16_t otherWorkerPort = 19813;
+// Three ports below the ephemeral ones, different in processes that run at once.
+const auto storePort = static_cast<uint16_t>(20'000 + getpid() % 4'000 * 3);
+const auto workerPort = static_cast<uint16_t>(storePort + 1);
+const auto otherWorkerPort = static_cast<uint16_t>(storePort + 2);
 constexpr int64_t workerStartMs = 10;
 const std::string jobsTopic = platform::keyedTopic("jobs-0");
 const std::string progressTopic = platform::keyedTopic("progress-0");
