A test captures no structured binding

clang rejects the capture of a structured binding by a lambda, so clang-tidy could not read foreign_answers_test.cpp.

--- a/tests/platform/foreign_answers_test.cpp
+++ b/tests/platform/foreign_answers_test.cpp
@@ -232,9 +232,10 @@
 
 BOOST_AUTO_TEST_CASE(a_page_continues_after_any_key)
 {
-    const std::vector<std::pair<std::string, std::string>> keys { { "i-7f3a91c2", "i-7f3a91c2" },
+    const std::vector<std::pair<std::string, std::string>> encodedKeys { { "i-7f3a91c2", "i-7f3a91c2" },
         { "a&From=1", "a%26From%3D1" }, { "a b%#", "a%20b%25%23" }, { "a\r\nX: y", "a%0D%0AX%3A%20y" } };
-    for (const auto& [key, encoded] : keys) {
+    for (const auto& each : encodedKeys) {
+        const std::string& key = each.first;
         fake_platform p([&](const http_request& request) {
             bool first = request.query.find("DependsOn") == std::string::npos;
             return std::pair(200,
@@ -245,7 +246,7 @@
         BOOST_TEST((answer.outcome == platform::store_outcome::done));
         BOOST_TEST(answer.items.size() == 2u);
         BOOST_REQUIRE(p.requests.size() == 2);
-        BOOST_TEST(p.requests[1].query == "Topic=t&part=0&DependsOn=" + encoded);
+        BOOST_TEST(p.requests[1].query == "Topic=t&part=0&DependsOn=" + each.second);
     }
 }
 
