Worlds: move events instead of copying them

Each event was copied out of the queue with all that its callback holds, and each order held two copies of the handler of its answer.

--- a/tests/jobs/world.cpp
+++ b/tests/jobs/world.cpp
@@ -64,7 +64,8 @@
 
 void world::runAfter(ms delay, std::function<void()> callback)
 {
-    m_events.push({ m_now + delay, m_nextSequence++, std::move(callback) });
+    m_events.push_back({ m_now + delay, m_nextSequence++, std::move(callback) });
+    std::push_heap(m_events.begin(), m_events.end(), std::greater<>());
 }
 
 ms world::randomInt(ms low, ms high) { return std::uniform_int_distribution<ms>(low, high)(m_random); }
@@ -241,12 +242,12 @@
     std::function<order_outcome(model_worker&)> order, std::function<void(order_outcome)> onAnswer)
 {
     model_worker& worker = *m_workers.at(id);
-    auto answered = std::make_shared<bool>(false);
-    auto reply = [leader, onAnswer, answered](order_outcome outcome) {
-        if (*answered || !leader->alive)
+    auto pending = std::make_shared<std::function<void(order_outcome)>>(std::move(onAnswer));
+    auto reply = [leader, pending](order_outcome outcome) {
+        if (!leader->alive)
             return;
-        *answered = true;
-        onAnswer(outcome);
+        if (auto callback = std::exchange(*pending, nullptr))
+            callback(outcome);
     };
     runAfter(answerTimeoutMs, [this, leader, reply] {
         reply(order_outcome::no_answer);
@@ -256,7 +257,7 @@
     bool answerLost = !settling() && chance(0.02);
     int64_t incarnation = worker.record.startedUnixMs;
     runAfter(delayed ? randomInt(2000, 12000) : randomInt(1, 8),
-        [this, &worker, leader, order, reply, delayed, answerLost, incarnation] {
+        [this, &worker, leader, order = std::move(order), reply, delayed, answerLost, incarnation] {
             // A delayed order is dropped when its worker has restarted. Whether it may reach the new
             // incarnation is an open question (docs/QUESTIONS.md).
             if (!worker.up || !worker.reachable || worker.record.startedUnixMs != incarnation)
@@ -540,9 +541,10 @@
     runAfter(faultsEnd + lastTakeoverMs, [this] { replaceLeader(50); });
     ms endAt = m_start + m_settings.faultPhase + m_settings.settlePhase;
     ms advancedTo = 0;
-    while (!m_events.empty() && m_events.top().dueAt <= endAt) {
-        event next = m_events.top();
-        m_events.pop();
+    while (!m_events.empty() && m_events.front().dueAt <= endAt) {
+        std::pop_heap(m_events.begin(), m_events.end(), std::greater<>());
+        event next = std::move(m_events.back());
+        m_events.pop_back();
         m_now = next.dueAt;
         if (m_now != advancedTo) {
             for (auto& [id, worker] : m_workers)
--- a/tests/jobs/world.h
+++ b/tests/jobs/world.h
@@ -13,7 +13,7 @@
 #include "standins/fleet_models.h"
 #include "tests/jobs/keyed_log.h"
 
-#include <queue>
+#include <random>
 
 namespace camphorwell::testing {
 
@@ -149,7 +149,7 @@
 
     world_settings m_settings;
     std::mt19937_64 m_random;
-    std::priority_queue<event, std::vector<event>, std::greater<>> m_events;
+    std::vector<event> m_events; // A heap with the next event first.
     uint64_t m_nextSequence = 0;
     ms m_now = 100'000;
     ms m_start = 100'000;
