--- a/src/net/net.h
+++ b/src/net/net.h
@@ -82,6 +82,9 @@
     virtual bool callerDisconnected() const = 0;
 };
 
+// Whether `host` is an IP address. The name of a host would be resolved by a call that blocks the loop.
+bool isNumericAddress(const std::string& host);
+
 struct http_limits {
     size_t maxBodyBytes = 65536;
     int64_t idleTimeoutMs = 30'000; // Idle connections are closed after this; rounded down to seconds.
@@ -120,7 +123,8 @@
     http_client& operator=(const http_client&) = delete;
 
     // Calls `handler` with the response, possibly before `call` returns, and not at all if the client is
-    // destroyed first. `timeoutMs` does not include the wait for a free connection.
+    // destroyed first. `timeoutMs` does not include the wait for a free connection. A call with a header that
+    // cannot be sent, such as one with a line break, gets no response.
     void call(const std::string& method, const std::string& path, const header_list&, std::string body,
         int64_t timeoutMs, handler);
 
--- a/src/scheduler/process/cell_host_recovery.cpp
+++ b/src/scheduler/process/cell_host_recovery.cpp
@@ -71,10 +71,18 @@
                                     .add("records", static_cast<int64_t>(answer.items.size()))
                                     .add("end", static_cast<int64_t>(answer.end)));
         for (const auto& item : answer.items) {
-            if (item.key == loadModelKey)
+            if (item.value.empty())
+                continue;
+            bool bounded = cborIsBounded(item.value, maxRecordDepth);
+            if (item.key != loadModelKey)
+                ledCell->restoreProgress(item.key, bounded ? item.value : std::string());
+            else if (bounded)
                 ledCell->restoreLoadModel(item.value);
-            else if (!item.value.empty())
-                ledCell->restoreProgress(item.key, item.value);
+        }
+        // The progress of these jobs is unreadable, too; without it they would run as new ones.
+        for (const auto& key : answer.unreadableKeys) {
+            if (key != loadModelKey)
+                ledCell->restoreProgress(key, {});
         }
         onRecoveryStepDone(term);
     });
--- a/src/scheduler/process/cell_host_state.h
+++ b/src/scheduler/process/cell_host_state.h
@@ -3,9 +3,12 @@
 
 #include "scheduler/process/job_tombstones.h"
 #include "scheduler/scheduler.h"
+#include "schema/field_reader.h"
 
 namespace camphorwell {
 
+constexpr int maxRecordDepth = 16; // Of records in the store; more than any format of ours nests.
+
 // Read position in one partition of the cell's jobs topic.
 struct job_cursor {
     int partition = 0;
@@ -43,6 +46,7 @@
     std::vector<job_cursor> cursors;
     job_tombstones tombstones;
     uint64_t nextWorkerOffset = 0;
+    std::map<std::string, std::string> unreadableWorkers; // Last logged error of each id.
     int recoveryStepsLeft = 0;
     std::vector<std::pair<uint64_t, platform::keyed_item>> recoveredJobs;
     ms recoveryStartedAt = 0;
@@ -81,6 +85,7 @@
     void followWorkers(uint64_t term);
     void applyJobRecord(int partition, const platform::keyed_item&);
     void applyWorkerRecord(const platform::keyed_item&);
+    void onUnreadableWorker(const std::string& id, const std::string& error);
     void appendTombstones(uint64_t term, int partition);
     void onTombstonesAppended(const job_tombstones::batch&, const platform::append_answer&);
     ms jobLogReadUpTo() const;
