Soak: service jobs run whole again after the last fault

Change: 6 s after the last fault every task of each accepted service job that nobody cancelled must run.

--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -21,6 +21,7 @@
 constexpr int64_t repeatTimeLeftMs = 800;
 constexpr int64_t maxStoreDelayMs = 600;
 constexpr int64_t graceMs = 7000; // `graceSeconds` and the time to notice the end.
+constexpr int64_t settleMs = 6000; // Tasks of service jobs run again this long after the last fault.
 constexpr int64_t finishMs = 25'000; // Jobs are over this long after the last fault.
 constexpr int submitTries = 6;
 constexpr int stateAsks = 12;
@@ -364,6 +365,8 @@
         trace("finish");
         runFor(m_plan.maxStopMs + graceMs);
         m_deployment.setStore({ { "clear_faults", true } });
+        runFor(settleMs);
+        m_observer.checkServices(m_deployment.history());
         for (const auto& [id, job] : m_observer.jobs) {
             if (job.kind == job_kind::service && job.acceptedAt && !job.cancelSentAt)
                 cancel(id);
--- a/tests/soak/observer.cpp
+++ b/tests/soak/observer.cpp
@@ -142,6 +142,18 @@
     }
 }
 
+void observer::checkServices(const std::vector<fleet_attempt>& history)
+{
+    std::map<std::string, int> running; // Tasks, by job.
+    for (const auto& [task, attempts] : groupByTask(history))
+        running[jobOf(task)] += !attempts.back().endedAt;
+    for (const auto& [id, job] : jobs) {
+        if (job.kind == job_kind::service && job.acceptedAt && !job.cancelSentAt && running[id] < job.tasks)
+            addViolation("LOST service job " + id + " runs " + std::to_string(running[id]) + " of "
+                + std::to_string(job.tasks) + " tasks");
+    }
+}
+
 std::vector<std::string> observer::unfinished(const std::vector<fleet_attempt>& history) const
 {
     std::map<std::string, int> done; // Tasks, by job.
--- a/tests/soak/observer.h
+++ b/tests/soak/observer.h
@@ -32,6 +32,8 @@
     void onState(const std::string& id, int status, const std::string& state, int64_t askedAt, int64_t now);
     // Checks everything that was told against the attempts.
     void check(const std::vector<fleet_attempt>&);
+    // Checks that all tasks of the service jobs run. Nothing was disturbed for a while.
+    void checkServices(const std::vector<fleet_attempt>&);
     // Accepted jobs that are not over yet, by the attempts.
     std::vector<std::string> unfinished(const std::vector<fleet_attempt>&) const;
     const std::set<std::string>& violations() const { return m_violations; }
