Process tests: bound the time of a connection

Cause: connect() had no timeout, unlike the call that it belongs to. The scheduler did what its settings say: a repetition past keepSeconds is a new job.

Change: the timeout of the call bounds the connection, too.

--- a/tests/process/process_group.cpp
+++ b/tests/process/process_group.cpp
@@ -23,12 +23,16 @@
     using std::chrono::steady_clock;
 
     constexpr int64_t pollIntervalMs = 20;
+    constexpr int64_t connectTimeoutMs = 8000; // Of connections that are closed without an answer.
 
     void sleepMs(int64_t ms) { std::this_thread::sleep_for(milliseconds(ms)); }
 
-    int connectTo(uint16_t port)
+    int connectTo(uint16_t port, int64_t timeoutMs)
     {
         int fd = socket(AF_INET, SOCK_STREAM, 0);
+        // Also bounds the connection to a stopped process whose queue of connections is full.
+        timeval limit { timeoutMs / 1000, timeoutMs % 1000 * 1000 };
+        setsockopt(fd, SOL_SOCKET, SO_SNDTIMEO, &limit, sizeof limit);
         sockaddr_in address {};
         address.sin_family = AF_INET;
         address.sin_port = htons(port);
@@ -127,7 +131,7 @@
 raw_answer process_group::send(uint16_t port, const std::string& bytes, int64_t timeoutMs)
 {
     raw_answer out;
-    int fd = connectTo(port);
+    int fd = connectTo(port, timeoutMs);
     if (fd < 0)
         return out;
     out.connected = true;
@@ -168,7 +172,7 @@
 
 void process_group::sendAndClose(uint16_t port, const std::string& bytes, int64_t openMs)
 {
-    int fd = connectTo(port);
+    int fd = connectTo(port, connectTimeoutMs);
     if (fd < 0)
         return;
     ::send(fd, bytes.data(), bytes.size(), MSG_NOSIGNAL);
