Confirmed deletions reach the cell at each period, comments of the retention

Read as a newcomer: a deletion that was confirmed by the request itself waited for the next tombstone of another job to be told to the cell. It is told at the next period now.

--- a/src/jobs/process/cell.h
+++ b/src/jobs/process/cell.h
@@ -31,8 +31,7 @@
     early_occurrences, // Occurrences start a second before they are due.
     reserve_nothing, // Tasks reserve no resources.
     ignore_cancels, // Cancellations are ignored.
-    forget_by_clock, // Finished jobs are forgotten after the retention, whether or not records of them
-                     // remain.
+    forget_by_clock, // Finished jobs are forgotten after the retention while records of them remain.
     keep_repeated_records, // Records of a finished job that are read again are not deleted.
     forget_unconfirmed, // Records of finished jobs count as deleted before that is durable.
     forget_unread // The retention of finished jobs ends before all of the job log up to then has been read.
--- a/src/jobs/process/cell_model.h
+++ b/src/jobs/process/cell_model.h
@@ -122,8 +122,8 @@
     bool dirty = false; // The job has changed since its progress was last encoded.
     ms acceptedAt = 0;
     ms finishedAt = 0;
-    uint32_t recordsRead
-        = 0; // Log records of the job that were read: submissions and cancels, also repeated.
+    // Log records of the job that were read: submissions and cancels, also repeated.
+    uint32_t recordsRead = 0;
     uint32_t recordsDeleted = 0; // Value of `recordsRead` at the last confirmed deletion.
     // When the job was durably finished and its records deleted, whichever was later; without `unreadMs`.
     ms retainedSince = 0;
--- a/src/scheduler/process/cell_host_work.cpp
+++ b/src/scheduler/process/cell_host_work.cpp
@@ -318,6 +318,8 @@
 // Deletes the records of finished jobs: in each period, one batch from each partition that has any.
 void cell_host::state::appendTombstones(uint64_t term, int partition)
 {
+    for (const forget_job_action& deleted : tombstones.takeDeleted())
+        ledCell->onJobRecordsDeleted(deleted, bootNow());
     job_tombstones::batch batch;
     while (batch.keys.empty() && partition < context.settings.store.partitions)
         batch = tombstones.takeBatch(partition++, maxTombstonesPerAppend);
@@ -350,8 +352,6 @@
             log_line("job_deletion_failed").add("outcome", toString(answer.outcome)).add("records", records));
     }
     tombstones.onAppended(batch, durable);
-    for (const forget_job_action& deleted : tombstones.takeDeleted())
-        ledCell->onJobRecordsDeleted(deleted, bootNow());
 }
 
 // The time up to which every partition of the job log has been read.
--- a/src/scheduler/process/job_tombstones.cpp
+++ b/src/scheduler/process/job_tombstones.cpp
@@ -14,9 +14,9 @@
     job.partitionsOf(key.kind).insert(partition);
     if (key.kind == job_record_kind::cancel)
         return;
+    // The cancels are deleted after this record.
     for (int waitingIn : job.cancels)
-        m_waiting[waitingIn].erase(
-            { key.job, job_record_kind::cancel }); // They are deleted after this record.
+        m_waiting[waitingIn].erase({ key.job, job_record_kind::cancel });
 }
 
 void job_tombstones::request(const forget_job_action& action)
