Leases end with the leader's last renewal, so lasting tasks lost with their leader run again in time

Cause: leases were bound to the time of their grant, and grants to 6 s after the last renewal.

Change: a leader grants no lease that ends later than 6 s after its last renewal was sent. Each claim record states when its leases and those of earlier leaders are over (leasesEndMs), so the next leader counts 6.5 s from the last renewal that it read. Records of earlier releases state nothing; their longest time is assumed. An instance that leads again counts the leases of its own earlier term as well. cell_taken logs leases_end_ms, worker_lost logs led_ms.

--- a/src/jobs/jobs.h
+++ b/src/jobs/jobs.h
@@ -177,6 +177,10 @@
 };
 std::string_view toString(order_outcome);
 
+// The longest time that a lease of `leaseMs` on a worker's clock may last, including the kill at its end and
+// the delay of answers.
+ms worstLeaseMs(ms leaseMs);
+
 struct start_action {
     worker_id worker;
     task_ref task;
--- a/src/jobs/process/cell.h
+++ b/src/jobs/process/cell.h
@@ -42,8 +42,6 @@
     ms leaseMs = 5000;
     // The longest lease that a worker accepts.
     ms maxLeaseMs = 6000;
-    // How long after its last renewal an earlier leader may still have granted leases.
-    ms priorGrantMs = 6000;
     // The longest time that a worker takes to stop a task.
     ms stopTimeoutMs = 200;
     // How long a worker may hold back the answer to a poll while it waits for a completion.
@@ -82,6 +80,9 @@
     void setClock(ms now, int64_t unixMs);
     // Restores a progress record of an earlier leader. Must precede `begin` and `addJob` of that job.
     void restoreProgress(const job_id&, std::string_view bytes);
+    // All leases of earlier leaders have ended at this time. Must precede `begin`; unless it is called, they
+    // are taken to last as long as the worker accepts, from the beginning on.
+    void setEarlierLeasesEnd(ms);
     // Starts scheduling, once the recorded state is restored.
     void begin(ms now, int64_t unixMs);
 
@@ -105,8 +106,8 @@
     std::vector<worker_id> listedWorkers() const;
     // HOST:PORT of the worker's present incarnation; empty if the worker is not known.
     std::string addressOf(const worker_id&) const;
-    // Whether the leadership is recent enough to grant leases. Otherwise no task is started.
-    void setMayGrantLeases(bool);
+    // No lease is granted beyond this time. Shortly before it no task is started any more.
+    void setLeaseLimit(ms latestEnd);
 
     // Answers to actions. `sentAt` is the time at which the poll was sent.
     void onStarted(const start_action&, order_outcome, ms now);
--- a/src/jobs/process/cell_model.h
+++ b/src/jobs/process/cell_model.h
@@ -322,7 +322,8 @@
     std::vector<action> actions;
     bool writeInFlight = false;
     bool begun = false;
-    bool mayGrantLeases = false;
+    ms leaseLimit = 0; // Latest end of a lease that may be granted.
+    std::optional<ms> earlierLeasesEndAt; // End of all leases of earlier leaders, if known.
     bool fenced = false;
     bool placingNeeded = false;
     ms beganAt = 0;
@@ -389,7 +390,10 @@
     void resendStops(worker_state&);
     void handleNewIncarnation(worker_state&);
     void dropLostWorker(worker_state&, std::string_view reason);
+    ms leaseLength() const; // Of a lease granted now; not positive if none may be granted.
+    bool mayStartTasks() const;
     bool leaseExpired(const worker_state&) const;
+    ms unreportedLeaseEnd(const worker_state&) const;
     void dropUnlistedWorkers();
     void emptyDrainingWorkers();
 
--- a/src/jobs/process/cell_placing.cpp
+++ b/src/jobs/process/cell_placing.cpp
@@ -410,7 +410,7 @@
 void cell_model::placeWaiting()
 {
     ms interval = std::max<ms>(placingIntervalMs, static_cast<ms>(workers.size()) / workersPerMs);
-    if (!begun || !mayGrantLeases || now - lastPlacedAt < interval)
+    if (!begun || !mayStartTasks() || now - lastPlacedAt < interval)
         return;
     lastPlacedAt = now;
     placingNeeded = false;
--- a/src/jobs/process/cell_progress.cpp
+++ b/src/jobs/process/cell_progress.cpp
@@ -275,7 +275,7 @@
         });
     };
     const auto& tasks = placement.step->tasks;
-    if (!mayGrantLeases)
+    if (!mayStartTasks())
         return false;
     if (!placement.step->spec->gang)
         return ready(tasks[static_cast<size_t>(placement.index)]);
@@ -293,7 +293,7 @@
         if (!attempt)
             continue;
         worker_state& worker = *attempt->worker;
-        ms lease = worker.workerNow(now) + settings.leaseMs;
+        ms lease = worker.workerNow(now) + leaseLength();
         if (attempt->phase != attempt_phase::planned || !startable(placement)) {
             removeAttempt(*placement.step, placement.index, worker, placement.attempt);
             markDirty(*placement.step->job);
--- a/src/jobs/process/cell_workers.cpp
+++ b/src/jobs/process/cell_workers.cpp
@@ -17,6 +17,11 @@
     constexpr double clockErrorFactor = 1.03; // A worker's clock may be 2% slow.
     // Allowance for the time from lease expiry to the kill and for the delay of answers.
     constexpr ms leaseExpirySlackMs = 300;
+    constexpr ms minStartLeaseMs = 1000; // No task is started under a shorter lease.
+    // With less than this left of the leases, the last renewal of the leadership is overdue.
+    constexpr ms overdueRenewalLeaseMs = 4000;
+    constexpr ms overdueRenewalPollWaitMs
+        = 300; // Wait of a poll then, so that a late renewal extends leases soon.
     constexpr ms stopRetryMs = 700; // An unanswered stop is sent again after this time.
     // Maximum rate of polls of all workers together, not counting polls that return early for a completion.
     constexpr ms maxPollsPerSecond = 500;
@@ -29,6 +34,11 @@
 
 } // namespace
 
+ms worstLeaseMs(ms leaseMs)
+{
+    return static_cast<ms>(static_cast<double>(leaseMs) * clockErrorFactor) + leaseExpirySlackMs;
+}
+
 void cell::setWorker(const worker_record& record, ms now)
 {
     m_model->now = now;
@@ -147,9 +157,11 @@
         ms interval = static_cast<ms>(workers.size()) * 1000 / maxPollsPerSecond;
         poll.waitMs = std::clamp(interval, shared ? settings.sharedPollWaitMs : settings.pollWaitMs,
             std::max(settings.pollWaitMs, settings.sharedPollWaitMs));
+        if (leaseLimit - now < overdueRenewalLeaseMs)
+            poll.waitMs = std::min(poll.waitMs, overdueRenewalPollWaitMs);
         // The lease of a worker that does not answer is not extended, so that its end is known.
-        if (mayGrantLeases && worker.failedPolls == 0) {
-            poll.leaseUntilWorkerMs = worker.workerNow(now) + settings.leaseMs;
+        if (leaseLength() > 0 && worker.failedPolls == 0) {
+            poll.leaseUntilWorkerMs = worker.workerNow(now) + leaseLength();
             worker.leaseUntilWorkerMs = std::max(worker.leaseUntilWorkerMs, *poll.leaseUntilWorkerMs);
         }
     }
@@ -168,15 +180,26 @@
     }
 }
 
+ms cell_model::leaseLength() const { return std::min(settings.leaseMs, leaseLimit - now); }
+
+bool cell_model::mayStartTasks() const { return leaseLength() >= minStartLeaseMs; }
+
 bool cell_model::leaseExpired(const worker_state& worker) const
 {
-    if (worker.reportedAt == 0) {
-        auto longestLeaseMs = static_cast<ms>(static_cast<double>(settings.maxLeaseMs) * clockErrorFactor);
-        ms lastGrant = std::max(beganAt + settings.priorGrantMs, worker.newIncarnationAt);
-        return now - lastGrant > longestLeaseMs + leaseExpirySlackMs;
-    }
-    auto remaining = static_cast<double>(std::max<ms>(0, worker.leaseUntilWorkerMs - worker.clockWorkerMs));
-    return now - worker.clockAt > static_cast<ms>(remaining * clockErrorFactor) + leaseExpirySlackMs;
+    if (worker.reportedAt == 0)
+        return now > unreportedLeaseEnd(worker);
+    ms remaining = std::max<ms>(0, worker.leaseUntilWorkerMs - worker.clockWorkerMs);
+    return now - worker.clockAt > worstLeaseMs(remaining);
+}
+
+// When the leases of a worker that has not reported have ended. An order to its earlier incarnation may have
+// reached the present one, whose clock began anew, so that only the worker's maximum bounds the lease.
+ms cell_model::unreportedLeaseEnd(const worker_state& worker) const
+{
+    ms longestMs = worstLeaseMs(settings.maxLeaseMs);
+    ms earlierEnd = earlierLeasesEndAt.value_or(beganAt + longestMs);
+    return worker.newIncarnationAt == 0 ? earlierEnd
+                                        : std::max(earlierEnd, worker.newIncarnationAt + longestMs);
 }
 
 // Attempts of the earlier incarnation have ended. But a start that was sent before the new incarnation was
@@ -207,6 +230,7 @@
             .add("worker", worker.info.id)
             .add("why", reason)
             .add("silent_ms", worker.reportedAt == 0 ? -1 : now - worker.reportedAt)
+            .add("led_ms", now - beganAt)
             .add("tasks", static_cast<int64_t>(worker.placements.size())));
     worker.hasReported = false;
     worker.processedSequence = worker.acknowledgedSequence = 0;
@@ -281,8 +305,9 @@
     if (!worker.hasReported) {
         worker.hasReported = true;
         placingNeeded = true;
+        ms earlierLease = std::min(worstLeaseMs(unreportedLeaseEnd(worker) - now), settings.maxLeaseMs);
         worker.leaseUntilWorkerMs
-            = std::max(worker.leaseUntilWorkerMs, report.clockWorkerMs + settings.maxLeaseMs);
+            = std::max(worker.leaseUntilWorkerMs, report.clockWorkerMs + std::max<ms>(0, earlierLease));
         log(log_line("worker_taken")
                 .add("worker", worker.info.id)
                 .add("running", static_cast<int64_t>(report.running.size())));
--- a/src/jobs/version/leader_election.cpp
+++ b/src/jobs/version/leader_election.cpp
@@ -17,7 +17,7 @@
 {
     std::string out;
     json::to_cbor(json::array({ claimFormat, claim.instance, claim.incarnation, claim.address, claim.token,
-                      claim.released, claim.processors }),
+                      claim.released, claim.processors, claim.leasesEndMs }),
         out);
     return out;
 }
@@ -36,6 +36,8 @@
         out.released = row.at(5);
         if (row.size() > 6)
             out.processors = row.at(6);
+        if (row.size() > 7)
+            out.leasesEndMs = row.at(7);
         return out;
     } catch (const json::exception&) {
         return std::nullopt;
@@ -82,11 +84,12 @@
     return step::claim;
 }
 
-claim_record leader_election::record(step append, bool releasing) const
+claim_record leader_election::record(step append, bool releasing, ms now) const
 {
     claim_record out = m_self;
     out.token = append == step::renew ? m_token : 0;
     out.released = releasing;
+    out.leasesEndMs = std::max(worstLeaseMs(m_settings.leaseTermMs), m_earlierLeasesEndAt - now);
     return out;
 }
 
@@ -107,6 +110,10 @@
     bool mine = claim && claim->instance == m_self.instance && claim->incarnation == m_self.incarnation;
     m_newestClaim = claim;
     m_lastRenewalAt = now;
+    if (!mine && nextOffset > 0) {
+        bool stated = claim && claim->leasesEndMs > 0;
+        m_earlierLeasesEndAt = now + (stated ? claim->leasesEndMs : m_settings.unstatedLeasesEndMs);
+    }
     if (isLeader() && !mine)
         m_token = 0;
 }
@@ -121,11 +128,15 @@
 {
     m_appending = false;
     m_nextOffset = offset + 1;
+    // This instance may have led before, and its own leases may last as well.
+    if (append == step::claim && m_renewedAt != 0)
+        m_earlierLeasesEndAt
+            = std::max(m_earlierLeasesEndAt, m_renewedAt + worstLeaseMs(m_settings.leaseTermMs));
     m_renewedAt = sentAt;
     m_lastRenewalAt = sentAt;
     if (append == step::claim)
         m_token = offset + 1;
-    m_newestClaim = record(append, releasing);
+    m_newestClaim = record(append, releasing, sentAt);
     // A renewal that was sent before `release` does not announce it to the others; the next renewal does.
     if (releasing)
         m_token = 0;
--- a/src/jobs/version/leader_election.h
+++ b/src/jobs/version/leader_election.h
@@ -9,6 +9,11 @@
 // A released claim is vacant at once. Each instance adds a delay of its own, so that the first conditional
 // append usually decides. An instance with at least twice the leader's processors replaces it after
 // `weakLeaderTermMs`; otherwise a cell that only a small instance could claim in time would stay there.
+//
+// Workers run tasks under leases, which outlive a leader. A leader grants none beyond `leaseTermMs` after its
+// last renewal was sent, and each claim states when all leases have certainly ended. So the next leader knows
+// how long a worker that does not answer may still run what an earlier leader started, and that is counted
+// from the last renewal, not from the takeover.
 #pragma once
 
 #include "jobs/jobs.h"
@@ -22,6 +27,9 @@
     uint64_t token = 0; // 0 in the record that makes the claim, since its offset is not known yet.
     bool released = false;
     double processors = 0; // Cores of the instance; 0: unknown, as in records of earlier releases.
+    // Every lease that this or an earlier leader granted has ended this long after the record was sent, even
+    // on a worker whose clock is slow; 0: not stated, as in records of earlier releases.
+    ms leasesEndMs = 0;
     bool operator==(const claim_record&) const = default;
 };
 std::string encodeClaim(const claim_record&);
@@ -32,7 +40,10 @@
     ms leaderTimeoutMs = 1800; // A leader without a renewal for this long is replaced: three missed renewals.
     // Timeout of a claim that has not been renewed yet, since its instance is still taking the cell over.
     ms takeoverTimeoutMs = 6000;
-    ms grantWindowMs = 6000; // A leader grants leases for this long after it sent its last renewal.
+    ms leaseTermMs = 6000; // Leases end at most this long after the leader's last renewal was sent.
+    // Bound on the leases of a leader that does not state it: earlier releases granted leases of up to
+    // cell_settings::maxLeaseMs for 6 s after a renewal.
+    ms unstatedLeasesEndMs = 6000 + 6500;
     ms appendRetryMs = 200; // Pause after a failed append; about a tenth of `leaderTimeoutMs`.
     ms weakLeaderTermMs = 2500; // Least term of a weaker leader; slightly more than a takeover takes.
     ms claimDelayMs = 0; // This instance's own delay before a claim, up to a few hundred milliseconds.
@@ -49,7 +60,7 @@
     // must be appended.
     step next(ms now);
     uint64_t expectedOffset() const { return m_nextOffset; }
-    claim_record record(step, bool releasing) const;
+    claim_record record(step, bool releasing, ms now) const;
 
     // The newest claim in the store; nothing if there is none. `nextOffset` is the offset after it.
     void onClaimRead(const std::optional<claim_record>&, uint64_t nextOffset, ms now);
@@ -78,8 +89,10 @@
 
     bool isLeader() const { return m_token != 0; }
     uint64_t token() const { return m_token; }
-    // Whether this instance may grant leases to workers now.
-    bool mayGrant(ms now) const { return isLeader() && now - m_renewedAt <= m_settings.grantWindowMs; }
+    // The latest end of a lease that this instance may grant now; 0 when it does not lead.
+    ms leaseLimit() const { return isLeader() ? m_renewedAt + m_settings.leaseTermMs : 0; }
+    // When all leases of earlier leaders, and of earlier terms of this instance, have ended.
+    ms earlierLeasesEndAt() const { return m_earlierLeasesEndAt; }
     ms renewedAt() const { return m_renewedAt; }
     const std::optional<claim_record>& newestClaim() const { return m_newestClaim; }
 
@@ -99,6 +112,7 @@
     ms m_renewedAt = 0; // When this instance's last successful append was sent.
     ms m_lastRenewalAt = 0; // When the newest claim or renewal of any instance was read or sent.
     ms m_newLeaderAt = 0; // When the current leader first appeared in the claims.
+    ms m_earlierLeasesEndAt = 0; // See `earlierLeasesEndAt`.
     std::optional<ms> m_readingSince; // Start of the current run of successful reads.
 };
 
--- a/src/scheduler/process/cell_host.cpp
+++ b/src/scheduler/process/cell_host.cpp
@@ -187,7 +187,7 @@
 {
     ms sentAt = bootNow();
     bool releasing = election.isReleasing();
-    claim_record record = election.record(step, releasing);
+    claim_record record = election.record(step, releasing, sentAt);
     platform::append_request request { claimsTopic, number,
         { platform::encodeKeyedRecord(claimKey, encodeClaim(record)) }, election.expectedOffset(), {} };
     context.store.append(
@@ -235,7 +235,7 @@
 
 cell& cell_host::state::currentCell()
 {
-    ledCell->setMayGrantLeases(election.mayGrant(bootNow()));
+    ledCell->setLeaseLimit(election.leaseLimit());
     return *ledCell;
 }
 
--- a/src/scheduler/process/cell_host_recovery.cpp
+++ b/src/scheduler/process/cell_host_recovery.cpp
@@ -149,15 +149,18 @@
     recoveredJobs.clear();
     recoveredJobs.shrink_to_fit();
     recovered = true;
+    ledCell->setEarlierLeasesEnd(election.earlierLeasesEndAt());
     ledCell->begin(bootNow(), unixNow());
     auto statistics = ledCell->collectStatistics();
-    context.log.writeAlways(log_line("cell_taken")
-                                .add("cell", number)
-                                .add("token", static_cast<int64_t>(token))
-                                .add("took_ms", bootNow() - recoveryStartedAt)
-                                .add("jobs", statistics.jobs)
-                                .add("running", statistics.runningTasks)
-                                .add("workers", statistics.workers));
+    context.log.writeAlways(
+        log_line("cell_taken")
+            .add("cell", number)
+            .add("token", static_cast<int64_t>(token))
+            .add("took_ms", bootNow() - recoveryStartedAt)
+            .add("jobs", statistics.jobs)
+            .add("running", statistics.runningTasks)
+            .add("workers", statistics.workers)
+            .add("leases_end_ms", std::max<ms>(0, election.earlierLeasesEndAt() - bootNow())));
     for (const auto& cursor : cursors)
         followJobs(term, cursor.partition);
     followWorkers(term);
--- a/src/scheduler/process/settings.cpp
+++ b/src/scheduler/process/settings.cpp
@@ -53,6 +53,7 @@
     // Cores from which on an instance has no further claim delay.
     constexpr double noDelayProcessors = 0.5;
     constexpr ms leaseMarginMs = 200; // Keeps leases below the worker's maximum, so that none is shortened.
+    constexpr ms earlierGrantWindowMs = 6000; // Leaders of earlier releases granted leases for so long.
 
 } // namespace
 
@@ -83,7 +84,7 @@
     out.cell.paceDelayMs = workers.value("paceMs", ms { 100 });
     out.cell.remoteFactor = workers.value("remoteFactor", 1.5);
     out.cell.finishedRetentionMs = given["keepSeconds"].get<ms>() * 1000;
-    out.cell.priorGrantMs = out.election.grantWindowMs;
+    out.election.unstatedLeasesEndMs = earlierGrantWindowMs + worstLeaseMs(out.cell.maxLeaseMs);
     // Among instances that could claim a cell, those with more processor time claim first.
     out.processors = given["processors"];
     double claimShare = std::min(out.processors, noDelayProcessors);
--- a/tests/jobs/cell_driver.h
+++ b/tests/jobs/cell_driver.h
@@ -57,6 +57,7 @@
 // A cell whose event loop, clock and store are simulated. The test takes its actions and delivers the
 // answers.
 struct cell_driver {
+    static constexpr ms leaseTermMs = 6'000;
     cell scheduler;
     ms now = 1'000;
     std::vector<action> actions; // Collected from the cell and not taken by the test yet.
@@ -72,7 +73,7 @@
     void runOnce(bool durable = true)
     {
         now += 20;
-        scheduler.setMayGrantLeases(true);
+        scheduler.setLeaseLimit(now + leaseTermMs);
         scheduler.tick(now, now);
         collectActions();
         if (auto batch = scheduler.takeWrite(now)) {
--- a/tests/jobs/jobs_test.cpp
+++ b/tests/jobs/jobs_test.cpp
@@ -572,11 +572,43 @@
     BOOST_TEST((second.next(2000) == leader_election::step::claim));
     second.onAppended(leader_election::step::claim, 2, 2000, false);
     BOOST_TEST(second.token() > first.token());
-    BOOST_TEST(!first.mayGrant(60 + settings.grantWindowMs + 1));
+    BOOST_TEST(first.leaseLimit() == 60 + settings.leaseTermMs);
     first.onClaimRead(claim_record { "b", 1, "10.0.0.2:1", 0, false }, 3, 2100);
     BOOST_TEST(!first.isLeader());
 }
 
+BOOST_AUTO_TEST_CASE(leases_of_earlier_leaders_are_counted_from_their_last_renewal)
+{
+    using step = leader_election::step;
+    election_settings settings;
+    const ms leasesEndMs = worstLeaseMs(settings.leaseTermMs);
+    leader_election first(settings, { "a", 1, "10.0.0.1:1" });
+    first.onClaimRead(std::nullopt, 0, 100);
+    BOOST_REQUIRE((first.next(100) == step::claim));
+    first.onAppended(step::claim, 0, 100, false);
+    BOOST_TEST(first.earlierLeasesEndAt() == 0);
+    claim_record renewal = first.record(step::renew, false, 700);
+    BOOST_TEST(renewal.leasesEndMs == leasesEndMs);
+    BOOST_TEST((decodeClaim(encodeClaim(renewal)) == renewal));
+    leader_election second(settings, { "b", 1, "10.0.0.2:1" });
+    second.onClaimRead(renewal, 2, 710);
+    BOOST_REQUIRE((second.next(2'510) == step::claim));
+    second.onAppended(step::claim, 2, 2'510, false);
+    BOOST_TEST(second.earlierLeasesEndAt() == 710 + leasesEndMs);
+    // A leader of an earlier release does not state when its leases end.
+    renewal.leasesEndMs = 0;
+    leader_election third(settings, { "c", 1, "10.0.0.3:1" });
+    third.onClaimRead(renewal, 2, 710);
+    BOOST_TEST(third.earlierLeasesEndAt() == 710 + settings.unstatedLeasesEndMs);
+    BOOST_TEST(third.record(step::claim, false, 1'710).leasesEndMs == settings.unstatedLeasesEndMs - 1'000);
+    // The third leader takes the cell again after it gave it up; its own leases may last.
+    third.onAppended(step::claim, 2, 13'000, false);
+    third.stepDown();
+    third.onClaimRead(third.newestClaim(), 3, 14'000);
+    third.onAppended(step::claim, 3, 14'000, false);
+    BOOST_TEST(third.earlierLeasesEndAt() == 13'000 + leasesEndMs);
+}
+
 // Regression (incident inc-c66e): a refused renewal was sent again in every iteration of the event loop.
 BOOST_AUTO_TEST_CASE(a_refused_renewal_is_retried_after_a_pause)
 {
@@ -610,7 +642,7 @@
     leader.onAppended(leader_election::step::renew, 1, 1'100, false);
     BOOST_TEST(leader.isLeader());
     BOOST_REQUIRE((leader.next(1'110) == leader_election::step::renew));
-    BOOST_TEST(leader.record(leader_election::step::renew, leader.isReleasing()).released);
+    BOOST_TEST(leader.record(leader_election::step::renew, leader.isReleasing(), 1'110).released);
     leader.onAppended(leader_election::step::renew, 2, 1'110, true);
     BOOST_TEST(!leader.isLeader());
     BOOST_TEST((leader.next(10'000) == leader_election::step::none));
--- a/tests/jobs/world.cpp
+++ b/tests/jobs/world.cpp
@@ -7,7 +7,7 @@
 
 namespace {
     constexpr ms tickIntervalMs = 25;
-    constexpr ms grantWindowMs = 3000;
+    constexpr ms leaseTermMs = 6000; // Leases end at most this long after the last renewal of their leader.
     constexpr ms answerTimeoutMs = 1200;
     // A start ordered more than this long after its job was cancelled is a violation.
     constexpr ms cancelDeadlineMs = 3000;
@@ -139,7 +139,6 @@
     leader->cursors.resize(m_jobLog.partitions());
     cell_settings settings;
     settings.leaseMs = 5000;
-    settings.priorGrantMs = grantWindowMs;
     settings.pollWaitMs = 200;
     settings.finishedRetentionMs = m_retentionMs;
     settings.fault = m_settings.fault;
@@ -150,6 +149,10 @@
     leader->scheduler->setClock(m_now, unixOriginMs + m_now);
     for (const auto& [id, bytes] : m_progress)
         leader->scheduler->restoreProgress(id, bytes);
+    if (!m_leaders.empty())
+        m_earlierLeasesEndAt
+            = std::max(m_earlierLeasesEndAt, m_leaders.back()->renewedAt + worstLeaseMs(leaseTermMs));
+    leader->scheduler->setEarlierLeasesEnd(m_earlierLeasesEndAt);
     m_leaders.push_back(leader);
     checkStates(*leader);
     // Reading the log takes time, during which the previous leader continues to run.
@@ -187,7 +190,7 @@
         leader->renewedAt = m_now;
         setWorkers(*leader);
     }
-    leader->scheduler->setMayGrantLeases(m_now - leader->renewedAt <= grantWindowMs);
+    leader->scheduler->setLeaseLimit(leader->renewedAt + leaseTermMs);
     leader->scheduler->setJobLogReadUpTo(jobLogReadUpTo(*leader));
     leader->scheduler->tick(m_now, unixOriginMs + m_now);
     processActions(leader);
--- a/tests/scheduler/leader_test.cpp
+++ b/tests/scheduler/leader_test.cpp
@@ -208,7 +208,7 @@
 {
     constexpr ms pauseMs = 600;
     scheduler_settings settings = leaderSettings();
-    settings.election.grantWindowMs = 300;
+    settings.election.leaseTermMs = 1'300; // No task is started with less than a second left of it.
     settings.election.renewIntervalMs = 100;
     std::atomic<bool> stopping = false;
     std::atomic<bool> appended = false;
@@ -250,6 +250,38 @@
     BOOST_TEST(starts == 0);
 }
 
+BOOST_AUTO_TEST_CASE(task_of_a_worker_lost_with_the_leader_starts_again_within_nine_seconds)
+{
+    scheduler_settings settings = leaderSettings();
+    settings.cell.maxLeaseMs = 10'000;
+    settings.cell.leaseMs = 9'800;
+    event_loop lostLoop; // Of the processes that are lost: it is not run any more then.
+    event_loop loop;
+    log_store log(loop, storePort);
+    loopback_worker lostWorker(lostLoop, workerPort, workerStartMs);
+    instance lostLeader(lostLoop, settings);
+    settings.instance = "north-2";
+    loopback_worker worker(loop, otherWorkerPort, workerStartMs);
+    instance nextLeader(loop, settings);
+    log.putWorker("lost", workerPort, workerStartMs);
+    log.put(jobsTopic, jobId(1), encodeJob(singleStepJob(1)));
+    lostLeader.host.start();
+    auto runBoth = [&](ms length) {
+        for (ms end = bootNow() + length; bootNow() < end;) {
+            lostLeader.runFor(2);
+            nextLeader.runFor(2);
+        }
+    };
+    runBoth(1'000);
+    BOOST_REQUIRE(lostWorker.starts == 1);
+    log.putWorker("w", otherWorkerPort, workerStartMs);
+    nextLeader.host.start();
+    runBoth(1'000);
+    BOOST_REQUIRE(worker.starts == 0);
+    nextLeader.runUntil(9'000, [&] { return worker.starts > 0; });
+    BOOST_TEST(worker.starts == 1);
+}
+
 BOOST_AUTO_TEST_CASE(record_of_an_earlier_incarnation_does_not_redirect_a_worker)
 {
     fixture f;
