While the store is away, a quorum of workers extends leases

A leader cannot renew then, but no other can take over either.

Change: while its renewal is overdue, a leader extends leases by 3 s from the time since when three fifths of the workers have answered it, at most until 15 s after the last renewal, and polls every 0.3 s. Another leader that has been answered by half of the workers has fenced one of each such quorum, so it counts 3.4 s from then for workers that stay silent; without that half it counts to the longest end. Claims state both bounds. Workers that started again since the renewal do not count, since they may have forgotten another leader's token.

--- a/src/jobs/jobs.h
+++ b/src/jobs/jobs.h
@@ -181,6 +181,22 @@
 // the delay of answers.
 ms worstLeaseMs(ms leaseMs);
 
+// Bounds on the leases that a leader grants to workers. A lease lasts until the end of the renewal term, or
+// of the quorum term if that is later, but never beyond the longest term.
+struct lease_terms {
+    ms renewalMs = 6000; // From the time at which the leader's last renewal was sent.
+    ms quorumMs = 3000; // From the time since when three fifths of the workers have answered the leader.
+    ms longestMs = 15'000; // From the time at which the leader's last renewal was sent.
+};
+
+// When the leases of earlier leaders have ended, in the clock of the present one: at `endAt`, or `quorumMs`
+// after half of the workers have answered the present leader if that is later, but not after `longestEndAt`.
+struct earlier_leases {
+    ms endAt = 0;
+    ms quorumMs = 0;
+    ms longestEndAt = 0;
+};
+
 struct start_action {
     worker_id worker;
     task_ref task;
--- a/src/jobs/process/cell.cpp
+++ b/src/jobs/process/cell.cpp
@@ -75,8 +75,8 @@
 }
 
 void cell::setSettings(const cell_settings& settings) { m_model->settings = settings; }
-void cell::setEarlierLeasesEnd(ms end) { m_model->earlierLeasesEndAt = end; }
-void cell::setLeaseLimit(ms latestEnd) { m_model->leaseLimit = latestEnd; }
+void cell::setEarlierLeases(const earlier_leases& leases) { m_model->earlierLeases = leases; }
+void cell::setRenewedAt(ms sentAt) { m_model->renewedAt = sentAt; }
 bool cell::fenced() const { return m_model->fenced; }
 
 void cell::setClock(ms now, int64_t unixMs)
--- a/src/jobs/process/cell.h
+++ b/src/jobs/process/cell.h
@@ -42,6 +42,7 @@
     ms leaseMs = 5000;
     // The longest lease that a worker accepts.
     ms maxLeaseMs = 6000;
+    lease_terms leaseTerms;
     // The longest time that a worker takes to stop a task.
     ms stopTimeoutMs = 200;
     // How long a worker may hold back the answer to a poll while it waits for a completion.
@@ -80,9 +81,9 @@
     void setClock(ms now, int64_t unixMs);
     // Restores a progress record of an earlier leader. Must precede `begin` and `addJob` of that job.
     void restoreProgress(const job_id&, std::string_view bytes);
-    // All leases of earlier leaders have ended at this time. Must precede `begin`; unless it is called, they
-    // are taken to last as long as the worker accepts, from the beginning on.
-    void setEarlierLeasesEnd(ms);
+    // Must precede `begin`. Unless it is called, leases of earlier leaders are taken to last as long as the
+    // worker accepts, from the beginning on.
+    void setEarlierLeases(const earlier_leases&);
     // Starts scheduling, once the recorded state is restored.
     void begin(ms now, int64_t unixMs);
 
@@ -106,8 +107,9 @@
     std::vector<worker_id> listedWorkers() const;
     // HOST:PORT of the worker's present incarnation; empty if the worker is not known.
     std::string addressOf(const worker_id&) const;
-    // No lease is granted beyond this time. Shortly before it no task is started any more.
-    void setLeaseLimit(ms latestEnd);
+    // When the last successful renewal of the leadership was sent; 0: never. It bounds the leases that are
+    // granted, and no task is started when it is too long ago.
+    void setRenewedAt(ms sentAt);
 
     // Answers to actions. `sentAt` is the time at which the poll was sent.
     void onStarted(const start_action&, order_outcome, ms now);
--- a/src/jobs/process/cell_model.h
+++ b/src/jobs/process/cell_model.h
@@ -219,6 +219,7 @@
     bool pollInFlight = false;
     ms nextPollAt = 0;
     ms reportedAt = 0;
+    ms answeredPollSentAt = 0; // When the last poll that was answered was sent.
     int failedPolls = 0; // Polls that failed since the last report.
     uint64_t reportCount = 0;
     size_t listedAttempts = 0; // Number of `placements` that the last report lists.
@@ -322,8 +323,10 @@
     std::vector<action> actions;
     bool writeInFlight = false;
     bool begun = false;
-    ms leaseLimit = 0; // Latest end of a lease that may be granted.
-    std::optional<ms> earlierLeasesEndAt; // End of all leases of earlier leaders, if known.
+    ms renewedAt = 0; // When the last successful renewal of the leadership was sent.
+    ms quorumAnsweredSince = 0; // See lease_terms::quorumMs; 0: not known.
+    std::optional<earlier_leases> earlierLeases;
+    ms majorityReportedAt = 0; // When half of the workers had reported to this leader; 0: not yet.
     bool fenced = false;
     bool placingNeeded = false;
     ms beganAt = 0;
@@ -390,10 +393,15 @@
     void resendStops(worker_state&);
     void handleNewIncarnation(worker_state&);
     void dropLostWorker(worker_state&, std::string_view reason);
+    size_t countWorkersInUse() const;
+    void updateQuorum();
+    void updateMajority();
+    bool renewalOverdue() const;
+    ms leaseLimit() const; // Latest end of a lease that may be granted now.
     ms leaseLength() const; // Of a lease granted now; not positive if none may be granted.
     bool mayStartTasks() const;
     bool leaseExpired(const worker_state&) const;
-    ms unreportedLeaseEnd(const worker_state&) const;
+    ms earlierLeasesEnd(const worker_state&, ms lastQuorumAt) const;
     void dropUnlistedWorkers();
     void emptyDrainingWorkers();
 
--- a/src/jobs/process/cell_workers.cpp
+++ b/src/jobs/process/cell_workers.cpp
@@ -18,10 +18,15 @@
     // Allowance for the time from lease expiry to the kill and for the delay of answers.
     constexpr ms leaseExpirySlackMs = 300;
     constexpr ms minStartLeaseMs = 1000; // No task is started under a shorter lease.
-    // With less than this left of the leases, the last renewal of the leadership is overdue.
-    constexpr ms overdueRenewalLeaseMs = 4000;
-    constexpr ms overdueRenewalPollWaitMs
-        = 300; // Wait of a poll then, so that a late renewal extends leases soon.
+    // A renewal of the leadership this long after the last one is overdue; the store may be away.
+    constexpr ms overdueRenewalMs = 2000;
+    // Polls then wait for this long only, so that the quorum is recent and a late renewal extends leases
+    // soon.
+    constexpr ms overdueRenewalPollWaitMs = 300;
+    constexpr ms maxOverduePollsPerSecond = 1000;
+    // Share of the workers that must have answered recently for leases without a renewal. It exceeds half,
+    // which the next leader waits for, by what the two leaders' lists of workers may differ.
+    constexpr double quorumShare = 0.6;
     constexpr ms stopRetryMs = 700; // An unanswered stop is sent again after this time.
     // Maximum rate of polls of all workers together, not counting polls that return early for a completion.
     constexpr ms maxPollsPerSecond = 500;
@@ -129,6 +134,8 @@
 void cell_model::pollWorkers()
 {
     dropUnlistedWorkers();
+    updateQuorum();
+    updateMajority();
     for (worker_state* worker : workers.all()) {
         if (!worker->placements.empty() && leaseExpired(*worker))
             dropLostWorker(*worker, "lease_over");
@@ -154,11 +161,13 @@
     if (worker.hasReported) {
         bool shared = worker.serviceCpu > 0 && worker.bestEffortCpu > 0;
         // The interval grows with the number of workers, which bounds the total poll rate.
-        ms interval = static_cast<ms>(workers.size()) * 1000 / maxPollsPerSecond;
-        poll.waitMs = std::clamp(interval, shared ? settings.sharedPollWaitMs : settings.pollWaitMs,
+        ms perWorker = static_cast<ms>(workers.size()) * 1000;
+        poll.waitMs = std::clamp(perWorker / maxPollsPerSecond,
+            shared ? settings.sharedPollWaitMs : settings.pollWaitMs,
             std::max(settings.pollWaitMs, settings.sharedPollWaitMs));
-        if (leaseLimit - now < overdueRenewalLeaseMs)
-            poll.waitMs = std::min(poll.waitMs, overdueRenewalPollWaitMs);
+        if (renewalOverdue())
+            poll.waitMs = std::min(
+                poll.waitMs, std::max(overdueRenewalPollWaitMs, perWorker / maxOverduePollsPerSecond));
         // The lease of a worker that does not answer is not extended, so that its end is known.
         if (leaseLength() > 0 && worker.failedPolls == 0) {
             poll.leaseUntilWorkerMs = worker.workerNow(now) + leaseLength();
@@ -180,26 +189,75 @@
     }
 }
 
-ms cell_model::leaseLength() const { return std::min(settings.leaseMs, leaseLimit - now); }
+size_t cell_model::countWorkersInUse() const
+{
+    return static_cast<size_t>(std::count_if(workers.all().begin(), workers.all().end(),
+        [](const worker_state* worker) { return worker->listed || !worker->placements.empty(); }));
+}
+
+bool cell_model::renewalOverdue() const { return now - renewedAt > overdueRenewalMs; }
+
+// Another leader that has reached half of the workers has fenced one of each quorum of this one, and so
+// ends its leases without a renewal. A worker that has started again since the last renewal may have
+// forgotten the other leader's token.
+void cell_model::updateQuorum()
+{
+    quorumAnsweredSince = 0;
+    if (!renewalOverdue())
+        return;
+    std::vector<ms> answers;
+    for (const worker_state* worker : workers.all()) {
+        if (worker->hasReported && worker->newIncarnationAt < renewedAt)
+            answers.push_back(worker->answeredPollSentAt);
+    }
+    auto needed = static_cast<size_t>(quorumShare * static_cast<double>(countWorkersInUse())) + 1;
+    if (answers.size() < needed)
+        return;
+    auto last = answers.begin() + static_cast<std::ptrdiff_t>(needed - 1);
+    std::nth_element(answers.begin(), last, answers.end(), std::greater<>());
+    quorumAnsweredSince = *last;
+}
+
+void cell_model::updateMajority()
+{
+    if (majorityReportedAt != 0)
+        return;
+    auto reported = std::count_if(workers.all().begin(), workers.all().end(),
+        [](const worker_state* worker) { return worker->hasReported; });
+    if (2 * static_cast<size_t>(reported) >= countWorkersInUse())
+        majorityReportedAt = now;
+}
+
+ms cell_model::leaseLimit() const
+{
+    const lease_terms& terms = settings.leaseTerms;
+    ms quorumEnd = std::min(quorumAnsweredSince + terms.quorumMs, renewedAt + terms.longestMs);
+    return std::max(renewedAt + terms.renewalMs, quorumEnd);
+}
+
+ms cell_model::leaseLength() const { return std::min(settings.leaseMs, leaseLimit() - now); }
 
-bool cell_model::mayStartTasks() const { return leaseLength() >= minStartLeaseMs; }
+bool cell_model::mayStartTasks() const { return leaseLimit() - now >= minStartLeaseMs; }
 
 bool cell_model::leaseExpired(const worker_state& worker) const
 {
     if (worker.reportedAt == 0)
-        return now > unreportedLeaseEnd(worker);
+        return now > earlierLeasesEnd(worker, majorityReportedAt);
     ms remaining = std::max<ms>(0, worker.leaseUntilWorkerMs - worker.clockWorkerMs);
     return now - worker.clockAt > worstLeaseMs(remaining);
 }
 
-// When the leases of a worker that has not reported have ended. An order to its earlier incarnation may have
+// When the leases of a worker have ended that were not granted by this leader. No earlier leader has had a
+// quorum after `lastQuorumAt`; 0: not known. An order to an earlier incarnation of the worker may have
 // reached the present one, whose clock began anew, so that only the worker's maximum bounds the lease.
-ms cell_model::unreportedLeaseEnd(const worker_state& worker) const
+ms cell_model::earlierLeasesEnd(const worker_state& worker, ms lastQuorumAt) const
 {
     ms longestMs = worstLeaseMs(settings.maxLeaseMs);
-    ms earlierEnd = earlierLeasesEndAt.value_or(beganAt + longestMs);
-    return worker.newIncarnationAt == 0 ? earlierEnd
-                                        : std::max(earlierEnd, worker.newIncarnationAt + longestMs);
+    earlier_leases leases = earlierLeases.value_or(earlier_leases { beganAt + longestMs, 0, 0 });
+    ms quorumEnd = lastQuorumAt == 0 ? leases.longestEndAt
+                                     : std::min(lastQuorumAt + leases.quorumMs, leases.longestEndAt);
+    ms end = std::max(leases.endAt, quorumEnd);
+    return worker.newIncarnationAt == 0 ? end : std::max(end, worker.newIncarnationAt + longestMs);
 }
 
 // Attempts of the earlier incarnation have ended. But a start that was sent before the new incarnation was
@@ -302,10 +360,11 @@
     worker.clockWorkerMs = report.clockWorkerMs;
     worker.clockAt = now;
     worker.reportedAt = now;
+    worker.answeredPollSentAt = sentAt;
     if (!worker.hasReported) {
         worker.hasReported = true;
         placingNeeded = true;
-        ms earlierLease = std::min(worstLeaseMs(unreportedLeaseEnd(worker) - now), settings.maxLeaseMs);
+        ms earlierLease = std::min(worstLeaseMs(earlierLeasesEnd(worker, now) - now), settings.maxLeaseMs);
         worker.leaseUntilWorkerMs
             = std::max(worker.leaseUntilWorkerMs, report.clockWorkerMs + std::max<ms>(0, earlierLease));
         log(log_line("worker_taken")
--- a/src/jobs/version/leader_election.cpp
+++ b/src/jobs/version/leader_election.cpp
@@ -16,8 +16,9 @@
 std::string encodeClaim(const claim_record& claim)
 {
     std::string out;
-    json::to_cbor(json::array({ claimFormat, claim.instance, claim.incarnation, claim.address, claim.token,
-                      claim.released, claim.processors, claim.leasesEndMs }),
+    json::to_cbor(
+        json::array({ claimFormat, claim.instance, claim.incarnation, claim.address, claim.token,
+            claim.released, claim.processors, claim.leasesEndMs, claim.quorumLeaseMs, claim.longestLeaseMs }),
         out);
     return out;
 }
@@ -36,8 +37,11 @@
         out.released = row.at(5);
         if (row.size() > 6)
             out.processors = row.at(6);
-        if (row.size() > 7)
+        if (row.size() > 9) {
             out.leasesEndMs = row.at(7);
+            out.quorumLeaseMs = row.at(8);
+            out.longestLeaseMs = row.at(9);
+        }
         return out;
     } catch (const json::exception&) {
         return std::nullopt;
@@ -89,7 +93,10 @@
     claim_record out = m_self;
     out.token = append == step::renew ? m_token : 0;
     out.released = releasing;
-    out.leasesEndMs = std::max(worstLeaseMs(m_settings.leaseTermMs), m_earlierLeasesEndAt - now);
+    const lease_terms& terms = m_settings.leaseTerms;
+    out.leasesEndMs = std::max(worstLeaseMs(terms.renewalMs), m_earlierLeases.endAt - now);
+    out.quorumLeaseMs = std::max(worstLeaseMs(terms.quorumMs), m_earlierLeases.quorumMs);
+    out.longestLeaseMs = std::max(worstLeaseMs(terms.longestMs), m_earlierLeases.longestEndAt - now);
     return out;
 }
 
@@ -111,8 +118,10 @@
     m_newestClaim = claim;
     m_lastRenewalAt = now;
     if (!mine && nextOffset > 0) {
-        bool stated = claim && claim->leasesEndMs > 0;
-        m_earlierLeasesEndAt = now + (stated ? claim->leasesEndMs : m_settings.unstatedLeasesEndMs);
+        if (claim && claim->leasesEndMs > 0)
+            m_earlierLeases = { now + claim->leasesEndMs, claim->quorumLeaseMs, now + claim->longestLeaseMs };
+        else
+            m_earlierLeases = { now + m_settings.unstatedLeasesEndMs, 0, 0 };
     }
     if (isLeader() && !mine)
         m_token = 0;
@@ -128,10 +137,8 @@
 {
     m_appending = false;
     m_nextOffset = offset + 1;
-    // This instance may have led before, and its own leases may last as well.
     if (append == step::claim && m_renewedAt != 0)
-        m_earlierLeasesEndAt
-            = std::max(m_earlierLeasesEndAt, m_renewedAt + worstLeaseMs(m_settings.leaseTermMs));
+        addOwnEarlierLeases();
     m_renewedAt = sentAt;
     m_lastRenewalAt = sentAt;
     if (append == step::claim)
@@ -142,6 +149,16 @@
         m_token = 0;
 }
 
+// This instance has led before, and its own leases may last as well.
+void leader_election::addOwnEarlierLeases()
+{
+    const lease_terms& terms = m_settings.leaseTerms;
+    earlier_leases& leases = m_earlierLeases;
+    leases.endAt = std::max(leases.endAt, m_renewedAt + worstLeaseMs(terms.renewalMs));
+    leases.quorumMs = std::max(leases.quorumMs, worstLeaseMs(terms.quorumMs));
+    leases.longestEndAt = std::max(leases.longestEndAt, m_renewedAt + worstLeaseMs(terms.longestMs));
+}
+
 void leader_election::onConflict()
 {
     // Either another instance has claimed the cell, or an earlier append of this one succeeded unnoticed.
--- a/src/jobs/version/leader_election.h
+++ b/src/jobs/version/leader_election.h
@@ -10,10 +10,10 @@
 // append usually decides. An instance with at least twice the leader's processors replaces it after
 // `weakLeaderTermMs`; otherwise a cell that only a small instance could claim in time would stay there.
 //
-// Workers run tasks under leases, which outlive a leader. A leader grants none beyond `leaseTermMs` after its
-// last renewal was sent, and each claim states when all leases have certainly ended. So the next leader knows
-// how long a worker that does not answer may still run what an earlier leader started, and that is counted
-// from the last renewal, not from the takeover.
+// Workers run tasks under leases, which outlive a leader. They are bounded by `lease_terms`, and each claim
+// states the bounds of its leader and of earlier ones. So the next leader knows how long a worker that does
+// not answer may still run what an earlier leader started: counted from the last renewal, not from the
+// takeover.
 #pragma once
 
 #include "jobs/jobs.h"
@@ -27,9 +27,11 @@
     uint64_t token = 0; // 0 in the record that makes the claim, since its offset is not known yet.
     bool released = false;
     double processors = 0; // Cores of the instance; 0: unknown, as in records of earlier releases.
-    // Every lease that this or an earlier leader granted has ended this long after the record was sent, even
-    // on a worker whose clock is slow; 0: not stated, as in records of earlier releases.
+    // Bounds on the leases of this and earlier leaders, from the time on when the record was sent, also on
+    // workers whose clock is slow; 0: not stated, as in records of earlier releases. See `earlier_leases`.
     ms leasesEndMs = 0;
+    ms quorumLeaseMs = 0;
+    ms longestLeaseMs = 0;
     bool operator==(const claim_record&) const = default;
 };
 std::string encodeClaim(const claim_record&);
@@ -40,7 +42,7 @@
     ms leaderTimeoutMs = 1800; // A leader without a renewal for this long is replaced: three missed renewals.
     // Timeout of a claim that has not been renewed yet, since its instance is still taking the cell over.
     ms takeoverTimeoutMs = 6000;
-    ms leaseTermMs = 6000; // Leases end at most this long after the leader's last renewal was sent.
+    lease_terms leaseTerms;
     // Bound on the leases of a leader that does not state it: earlier releases granted leases of up to
     // cell_settings::maxLeaseMs for 6 s after a renewal.
     ms unstatedLeasesEndMs = 6000 + 6500;
@@ -89,15 +91,14 @@
 
     bool isLeader() const { return m_token != 0; }
     uint64_t token() const { return m_token; }
-    // The latest end of a lease that this instance may grant now; 0 when it does not lead.
-    ms leaseLimit() const { return isLeader() ? m_renewedAt + m_settings.leaseTermMs : 0; }
-    // When all leases of earlier leaders, and of earlier terms of this instance, have ended.
-    ms earlierLeasesEndAt() const { return m_earlierLeasesEndAt; }
+    // Includes the leases of earlier terms of this instance.
+    const earlier_leases& earlierLeases() const { return m_earlierLeases; }
     ms renewedAt() const { return m_renewedAt; }
     const std::optional<claim_record>& newestClaim() const { return m_newestClaim; }
 
 private:
     bool leaderIsWeak() const;
+    void addOwnEarlierLeases();
     election_settings m_settings;
     claim_record m_self;
     std::optional<claim_record> m_newestClaim;
@@ -112,7 +113,7 @@
     ms m_renewedAt = 0; // When this instance's last successful append was sent.
     ms m_lastRenewalAt = 0; // When the newest claim or renewal of any instance was read or sent.
     ms m_newLeaderAt = 0; // When the current leader first appeared in the claims.
-    ms m_earlierLeasesEndAt = 0; // See `earlierLeasesEndAt`.
+    earlier_leases m_earlierLeases;
     std::optional<ms> m_readingSince; // Start of the current run of successful reads.
 };
 
--- a/src/scheduler/process/cell_host.cpp
+++ b/src/scheduler/process/cell_host.cpp
@@ -235,7 +235,7 @@
 
 cell& cell_host::state::currentCell()
 {
-    ledCell->setLeaseLimit(election.leaseLimit());
+    ledCell->setRenewedAt(election.isLeader() ? election.renewedAt() : 0);
     return *ledCell;
 }
 
--- a/src/scheduler/process/cell_host_recovery.cpp
+++ b/src/scheduler/process/cell_host_recovery.cpp
@@ -149,7 +149,7 @@
     recoveredJobs.clear();
     recoveredJobs.shrink_to_fit();
     recovered = true;
-    ledCell->setEarlierLeasesEnd(election.earlierLeasesEndAt());
+    ledCell->setEarlierLeases(election.earlierLeases());
     ledCell->begin(bootNow(), unixNow());
     auto statistics = ledCell->collectStatistics();
     context.log.writeAlways(
@@ -160,7 +160,7 @@
             .add("jobs", statistics.jobs)
             .add("running", statistics.runningTasks)
             .add("workers", statistics.workers)
-            .add("leases_end_ms", std::max<ms>(0, election.earlierLeasesEndAt() - bootNow())));
+            .add("leases_end_ms", std::max<ms>(0, election.earlierLeases().endAt - bootNow())));
     for (const auto& cursor : cursors)
         followJobs(term, cursor.partition);
     followWorkers(term);
--- a/tests/jobs/cell_driver.h
+++ b/tests/jobs/cell_driver.h
@@ -57,7 +57,6 @@
 // A cell whose event loop, clock and store are simulated. The test takes its actions and delivers the
 // answers.
 struct cell_driver {
-    static constexpr ms leaseTermMs = 6'000;
     cell scheduler;
     ms now = 1'000;
     std::vector<action> actions; // Collected from the cell and not taken by the test yet.
@@ -73,7 +72,7 @@
     void runOnce(bool durable = true)
     {
         now += 20;
-        scheduler.setLeaseLimit(now + leaseTermMs);
+        scheduler.setRenewedAt(now);
         scheduler.tick(now, now);
         collectActions();
         if (auto batch = scheduler.takeWrite(now)) {
--- a/tests/jobs/jobs_test.cpp
+++ b/tests/jobs/jobs_test.cpp
@@ -572,7 +572,7 @@
     BOOST_TEST((second.next(2000) == leader_election::step::claim));
     second.onAppended(leader_election::step::claim, 2, 2000, false);
     BOOST_TEST(second.token() > first.token());
-    BOOST_TEST(first.leaseLimit() == 60 + settings.leaseTermMs);
+    BOOST_TEST(first.renewedAt() == 60);
     first.onClaimRead(claim_record { "b", 1, "10.0.0.2:1", 0, false }, 3, 2100);
     BOOST_TEST(!first.isLeader());
 }
@@ -581,32 +581,35 @@
 {
     using step = leader_election::step;
     election_settings settings;
-    const ms leasesEndMs = worstLeaseMs(settings.leaseTermMs);
+    const ms leasesEndMs = worstLeaseMs(settings.leaseTerms.renewalMs);
+    const ms longestLeaseMs = worstLeaseMs(settings.leaseTerms.longestMs);
     leader_election first(settings, { "a", 1, "10.0.0.1:1" });
     first.onClaimRead(std::nullopt, 0, 100);
     BOOST_REQUIRE((first.next(100) == step::claim));
     first.onAppended(step::claim, 0, 100, false);
-    BOOST_TEST(first.earlierLeasesEndAt() == 0);
+    BOOST_TEST(first.earlierLeases().endAt == 0);
     claim_record renewal = first.record(step::renew, false, 700);
     BOOST_TEST(renewal.leasesEndMs == leasesEndMs);
+    BOOST_TEST(renewal.longestLeaseMs == longestLeaseMs);
     BOOST_TEST((decodeClaim(encodeClaim(renewal)) == renewal));
     leader_election second(settings, { "b", 1, "10.0.0.2:1" });
     second.onClaimRead(renewal, 2, 710);
     BOOST_REQUIRE((second.next(2'510) == step::claim));
     second.onAppended(step::claim, 2, 2'510, false);
-    BOOST_TEST(second.earlierLeasesEndAt() == 710 + leasesEndMs);
+    BOOST_TEST(second.earlierLeases().endAt == 710 + leasesEndMs);
+    BOOST_TEST(second.earlierLeases().longestEndAt == 710 + longestLeaseMs);
     // A leader of an earlier release does not state when its leases end.
     renewal.leasesEndMs = 0;
     leader_election third(settings, { "c", 1, "10.0.0.3:1" });
     third.onClaimRead(renewal, 2, 710);
-    BOOST_TEST(third.earlierLeasesEndAt() == 710 + settings.unstatedLeasesEndMs);
+    BOOST_TEST(third.earlierLeases().endAt == 710 + settings.unstatedLeasesEndMs);
     BOOST_TEST(third.record(step::claim, false, 1'710).leasesEndMs == settings.unstatedLeasesEndMs - 1'000);
     // The third leader takes the cell again after it gave it up; its own leases may last.
     third.onAppended(step::claim, 2, 13'000, false);
     third.stepDown();
     third.onClaimRead(third.newestClaim(), 3, 14'000);
     third.onAppended(step::claim, 3, 14'000, false);
-    BOOST_TEST(third.earlierLeasesEndAt() == 13'000 + leasesEndMs);
+    BOOST_TEST(third.earlierLeases().endAt == 13'000 + leasesEndMs);
 }
 
 // Regression (incident inc-c66e): a refused renewal was sent again in every iteration of the event loop.
--- /dev/null
+++ b/tests/jobs/lease_test.cpp
@@ -0,0 +1,136 @@
+// Leases while the store is away, and how long the next leader waits for them.
+#define BOOST_TEST_MODULE lease
+#include "tests/jobs/cell_driver.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace camphorwell;
+using camphorwell::testing::cell_driver;
+using camphorwell::testing::singleStepJob;
+using camphorwell::testing::workerRecord;
+
+namespace {
+
+constexpr int workers = 10;
+const lease_terms terms;
+
+std::string workerName(int number) { return "w" + std::to_string(number); }
+
+// A leader of ten workers whose last renewal was sent at the beginning.
+struct outage : cell_driver {
+    ms renewedAt = now;
+    std::map<worker_id, ms> leaseEnds; // Of the clocks of the workers, which are those of the test.
+
+    outage()
+    {
+        for (int i = 0; i < workers; i++)
+            scheduler.setWorker(workerRecord(workerName(i)), now);
+        scheduler.begin(now, now);
+    }
+    // The first `answering` workers answer their polls.
+    void run(ms length, int answering)
+    {
+        for (ms end = now + length; now < end;) {
+            now += 20;
+            scheduler.setRenewedAt(renewedAt);
+            scheduler.tick(now, now);
+            collectActions();
+            for (const poll_action& poll : take<poll_action>())
+                answer(poll, answering);
+        }
+    }
+    void answer(const poll_action& poll, int answering)
+    {
+        if (poll.leaseUntilWorkerMs)
+            leaseEnds[poll.worker] = *poll.leaseUntilWorkerMs;
+        if (std::stoi(poll.worker.substr(1)) < answering)
+            report(poll.worker, {});
+        else
+            scheduler.onPollFailed(poll, order_outcome::no_answer, now);
+    }
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(leases_last_through_an_outage_of_the_store_while_most_workers_answer)
+{
+    outage leader;
+    leader.run(12'000, 7);
+    for (int i = 0; i < 7; i++) {
+        BOOST_TEST(leader.leaseEnds[workerName(i)] > leader.now + 1'000);
+        BOOST_TEST(leader.leaseEnds[workerName(i)] <= leader.now + terms.quorumMs);
+    }
+    leader.run(5'000, 7);
+    BOOST_TEST(leader.leaseEnds["w0"] <= leader.renewedAt + terms.longestMs);
+}
+
+BOOST_AUTO_TEST_CASE(leases_end_with_the_renewal_when_many_workers_are_out_of_reach)
+{
+    outage leader;
+    leader.run(1'000, workers);
+    leader.run(12'000, 6);
+    for (int i = 0; i < workers; i++)
+        BOOST_TEST(leader.leaseEnds[workerName(i)] <= leader.renewedAt + terms.renewalMs);
+}
+
+// A worker that has started again may have forgotten the token of another leader.
+BOOST_AUTO_TEST_CASE(restarted_workers_do_not_extend_leases_without_a_renewal)
+{
+    outage leader;
+    leader.run(3'000, workers);
+    for (int i = 0; i < 4; i++) {
+        worker_report restarted;
+        restarted.startedUnixMs = 9;
+        leader.report(workerName(i), restarted);
+    }
+    leader.run(9'000, workers);
+    BOOST_TEST(leader.leaseEnds["w9"] <= leader.renewedAt + terms.renewalMs);
+}
+
+// The attempt of an earlier leader on a silent worker, as the next leader counts it.
+BOOST_AUTO_TEST_CASE(next_leader_waits_for_leases_that_a_quorum_may_have_extended)
+{
+    cell_driver first;
+    first.scheduler.addJob("j", singleStepJob(1));
+    first.scheduler.setWorker(workerRecord("silent"), first.now);
+    first.scheduler.begin(first.now, first.now);
+    first.runOnce();
+    first.report("silent", {});
+    first.runOnce();
+    BOOST_REQUIRE(first.take<start_action>().size() == 1);
+    struct expectation {
+        int answering = 0;
+        earlier_leases leases;
+        ms startsAfterMs = 0;
+    };
+    // The leader begins at 1,000 and hears of its workers in the first iteration.
+    for (const auto& [answering, leases, startsAfterMs] : {
+             expectation { 2, { 3'000, 1'500, 20'000 }, 2'000 },
+             expectation { 2, { 1'500, 4'000, 20'000 }, 4'000 },
+             expectation { 2, { 1'500, 4'000, 3'000 }, 2'000 },
+             expectation { 1, { 3'000, 1'500, 9'000 }, 8'000 },
+         }) {
+        cell_driver next;
+        next.scheduler.restoreProgress("j", first.progress.at("j"));
+        next.scheduler.addJob("j", singleStepJob(1));
+        for (const char* id : { "silent", "w1", "w2" })
+            next.scheduler.setWorker(workerRecord(id), next.now);
+        next.scheduler.setEarlierLeases(leases);
+        next.scheduler.begin(next.now, next.now);
+        std::vector<start_action> starts;
+        ms beganAt = next.now;
+        while (starts.empty() && next.now < beganAt + 12'000) {
+            next.runOnce();
+            for (const poll_action& poll : next.take<poll_action>()) {
+                if (poll.worker != "silent" && std::stoi(poll.worker.substr(1)) <= answering)
+                    next.report(poll.worker, {});
+                else
+                    next.scheduler.onPollFailed(poll, order_outcome::no_answer, next.now);
+            }
+            starts = next.take<start_action>();
+        }
+        BOOST_REQUIRE(starts.size() == 1);
+        BOOST_TEST(next.now >= beganAt + startsAfterMs);
+        BOOST_TEST(next.now <= beganAt + startsAfterMs + 200);
+    }
+}
--- a/tests/jobs/world.cpp
+++ b/tests/jobs/world.cpp
@@ -7,7 +7,6 @@
 
 namespace {
     constexpr ms tickIntervalMs = 25;
-    constexpr ms leaseTermMs = 6000; // Leases end at most this long after the last renewal of their leader.
     constexpr ms answerTimeoutMs = 1200;
     // A start ordered more than this long after its job was cancelled is a violation.
     constexpr ms cancelDeadlineMs = 3000;
@@ -149,10 +148,15 @@
     leader->scheduler->setClock(m_now, unixOriginMs + m_now);
     for (const auto& [id, bytes] : m_progress)
         leader->scheduler->restoreProgress(id, bytes);
-    if (!m_leaders.empty())
-        m_earlierLeasesEndAt
-            = std::max(m_earlierLeasesEndAt, m_leaders.back()->renewedAt + worstLeaseMs(leaseTermMs));
-    leader->scheduler->setEarlierLeasesEnd(m_earlierLeasesEndAt);
+    if (!m_leaders.empty()) {
+        lease_terms terms;
+        ms renewedAt = m_leaders.back()->renewedAt;
+        m_earlierLeases.endAt = std::max(m_earlierLeases.endAt, renewedAt + worstLeaseMs(terms.renewalMs));
+        m_earlierLeases.quorumMs = worstLeaseMs(terms.quorumMs);
+        m_earlierLeases.longestEndAt
+            = std::max(m_earlierLeases.longestEndAt, renewedAt + worstLeaseMs(terms.longestMs));
+    }
+    leader->scheduler->setEarlierLeases(m_earlierLeases);
     m_leaders.push_back(leader);
     checkStates(*leader);
     // Reading the log takes time, during which the previous leader continues to run.
@@ -190,7 +194,7 @@
         leader->renewedAt = m_now;
         setWorkers(*leader);
     }
-    leader->scheduler->setLeaseLimit(leader->renewedAt + leaseTermMs);
+    leader->scheduler->setRenewedAt(leader->renewedAt);
     leader->scheduler->setJobLogReadUpTo(jobLogReadUpTo(*leader));
     leader->scheduler->tick(m_now, unixOriginMs + m_now);
     processActions(leader);
--- a/tests/jobs/world.h
+++ b/tests/jobs/world.h
@@ -167,7 +167,7 @@
     size_t m_tombstonesPerAppend = 0;
     std::map<job_id, std::string> m_progress;
     uint64_t m_latestToken = 0;
-    ms m_earlierLeasesEndAt = 0; // End of all leases of the leaders before the latest one.
+    earlier_leases m_earlierLeases; // Of the leaders before the latest one.
     ms m_storeDownUntil = 0;
     std::vector<leader_ptr> m_leaders;
     std::shared_ptr<queue_table> m_queues;
--- a/tests/scheduler/leader_test.cpp
+++ b/tests/scheduler/leader_test.cpp
@@ -208,7 +208,7 @@
 {
     constexpr ms pauseMs = 600;
     scheduler_settings settings = leaderSettings();
-    settings.election.leaseTermMs = 1'300; // No task is started with less than a second left of it.
+    settings.cell.leaseTerms.renewalMs = 1'300; // No task is started with less than a second left of it.
     settings.election.renewIntervalMs = 100;
     std::atomic<bool> stopping = false;
     std::atomic<bool> appended = false;
