leader_test takes ports below those of deployments

Its ports (20,000 to 32,000 by process id) overlapped with those of the deployments of other tests (21,000, 23,000 and up). Seen: a run whose store could not listen beside two soak runs on 26,000 and up, nine cases failed with 'log.listening has failed'. They are 11,000 to 18,500 now; the test passes beside the same soak runs.

--- a/tests/scheduler/leader_test.cpp
+++ b/tests/scheduler/leader_test.cpp
@@ -14,8 +14,8 @@
 
 namespace {
 
-// Three ports below the ephemeral ones, different in processes that run at once.
-const auto storePort = static_cast<uint16_t>(20'000 + getpid() % 4'000 * 3);
+// Three ports, different in processes that run at once, below those of deployments and other tests.
+const auto storePort = static_cast<uint16_t>(11'000 + getpid() % 2'500 * 3);
 const auto workerPort = static_cast<uint16_t>(storePort + 1);
 const auto otherWorkerPort = static_cast<uint16_t>(storePort + 2);
 constexpr int64_t workerStartMs = 10;
