Tasks on a worker that had started again no longer run twice after a lost leader

Cause: since "Leases end with the leader's last renewal", the next leader waits for 6.5 s from the last renewal, as no order carries a later deadline. But deadlines are on the worker's clock, and the clock of a worker that starts again begins anew. The leader itself counted the longest lease from the time at which it learnt of the restart instead of from the first report, until which earlier orders are accepted.

A leader that restores a marked attempt counts the longest lease for that worker. The mark is taken off once such a lease is certainly over, so that a restart long ago delays nothing. The time is counted from the first report. worker_taken logs lease_ms.

--- a/src/jobs/process/cell_attempts.cpp
+++ b/src/jobs/process/cell_attempts.cpp
@@ -123,6 +123,8 @@
     task_attempt attempt;
     attempt.number = attemptNumber;
     attempt.worker = &worker;
+    attempt.longLease = now <= longLeaseEnd(worker);
+    worker.hasLongLeases |= attempt.longLease;
     task.attempts.push_back(std::move(attempt));
     return task.attempts.back();
 }
--- a/src/jobs/process/cell_model.h
+++ b/src/jobs/process/cell_model.h
@@ -31,6 +31,7 @@
     worker_state* worker = nullptr;
     attempt_phase phase = attempt_phase::planned;
     bool startSent = false; // The worker may have received the start.
+    bool longLease = false; // It may run under a lease of the worker's maximum. Recorded for the next leader.
     ms startAnsweredAt = 0;
     ms stopSentAt = 0;
     ms stopAnsweredAt = 0;
@@ -215,7 +216,10 @@
     ms evictionCheckedAt = 0;
 
     uint32_t incarnation = 0; // Number of incarnations that this leader has seen.
+    // When the present incarnation was seen first, or its first report; 0: it is that of an earlier leader.
     ms newIncarnationAt = 0;
+    bool hasLongLeases = false; // An attempt on it has task_attempt::longLease.
+    bool restoredLongLeases = false; // An earlier leader recorded such an attempt.
     bool pollInFlight = false;
     ms nextPollAt = 0;
     ms reportedAt = 0;
@@ -393,7 +397,10 @@
     ms leaseLength() const; // Of a lease granted now; not positive if none may be granted.
     bool mayStartTasks() const;
     bool leaseExpired(const worker_state&) const;
+    ms longLeaseEnd(const worker_state&) const;
     ms unreportedLeaseEnd(const worker_state&) const;
+    void recordLongLeases(worker_state&);
+    void expireLongLeases(worker_state&);
     void dropUnlistedWorkers();
     void emptyDrainingWorkers();
 
--- a/src/jobs/process/cell_progress.cpp
+++ b/src/jobs/process/cell_progress.cpp
@@ -16,13 +16,17 @@
 
     void writeTask(record_writer& out, int index, const task_run& task)
     {
-        out.array(task.checkpoint.empty() ? 5 : 6);
+        bool longLease = std::any_of(task.attempts.begin(), task.attempts.end(),
+            [](const task_attempt& attempt) { return attempt.longLease; });
+        out.array(longLease ? 7 : task.checkpoint.empty() ? 5 : 6);
         out.number(index).number(task.lastAttempt).number(task.failures).number(task.done ? 1 : 0);
         out.array(2 * task.attempts.size());
         for (const auto& attempt : task.attempts)
             out.number(attempt.number).text(attempt.worker->info.id);
-        if (!task.checkpoint.empty())
+        if (longLease || !task.checkpoint.empty())
             out.text(task.checkpoint);
+        if (longLease)
+            out.flag(true);
     }
 
     // A member of a gang may be done without an attempt that this leader knows of.
@@ -62,7 +66,8 @@
 } // namespace
 
 // Format: [format, state, next occurrence, [[occurrence, [[step, [task, ...]]]]], started], where a task is
-// [index, last attempt, failures, done, [attempt, worker, attempt, worker, ...], checkpoint unless empty].
+// [index, last attempt, failures, done, [attempt, worker, attempt, worker, ...], checkpoint, long lease]; the
+// last two are left out if they are empty and false.
 // The record of a finished job is [format, state].
 std::string cell_model::encodeProgress(const job_run& job) const
 {
@@ -139,6 +144,7 @@
                     step.remainingTasks -= task.done;
                     if (taskEntry.size() > 5)
                         task.checkpoint = taskEntry.at(5);
+                    bool longLease = taskEntry.size() > 6 && taskEntry.at(6).get<bool>();
                     const json& attemptList = taskEntry.at(4);
                     for (size_t i = 0; i + 1 < attemptList.size() && !hasFault(cell_fault::forget_restored);
                          i += 2) {
@@ -146,6 +152,9 @@
                             = place(step, index, findOrAddWorker(attemptList[i + 1]), attemptList[i]);
                         attempt.startSent = true;
                         attempt.phase = attempt_phase::restored;
+                        attempt.longLease |= longLease;
+                        attempt.worker->hasLongLeases |= longLease;
+                        attempt.worker->restoredLongLeases |= longLease;
                         if (step.spec->gang)
                             step.gangAttempt = attempt.number;
                     }
--- a/src/jobs/process/cell_workers.cpp
+++ b/src/jobs/process/cell_workers.cpp
@@ -6,9 +6,15 @@
 // has certainly expired by the worker's clock. An attempt whose start was not answered is stopped, which also
 // makes the worker refuse a late start, and counts as ended when a report that was requested after the answer
 // to the stop does not list it.
+//
+// An order carries a deadline on the worker's clock, which bounds the lease wherever the order is delayed.
+// But the clock of a worker that starts again begins anew, so an order to its earlier incarnation may give it
+// a lease of the worker's maximum. Attempts that may run under such a long lease are recorded as such, so
+// that the next leader waits for it as well.
 #include "jobs/process/cell_model.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace camphorwell {
 
@@ -132,6 +138,7 @@
     for (worker_state* worker : workers.all()) {
         if (!worker->placements.empty() && leaseExpired(*worker))
             dropLostWorker(*worker, "lease_over");
+        expireLongLeases(*worker);
         pollWorker(*worker);
     }
 }
@@ -192,14 +199,41 @@
     return now - worker.clockAt > worstLeaseMs(remaining);
 }
 
-// When the leases of a worker that has not reported have ended. An order to its earlier incarnation may have
-// reached the present one, whose clock began anew, so that only the worker's maximum bounds the lease.
-ms cell_model::unreportedLeaseEnd(const worker_state& worker) const
+// When a lease that an order to an earlier incarnation gave the worker has ended; 0: there is none.
+ms cell_model::longLeaseEnd(const worker_state& worker) const
 {
     ms longestMs = worstLeaseMs(settings.maxLeaseMs);
-    ms earlierEnd = earlierLeasesEndAt.value_or(beganAt + longestMs);
-    return worker.newIncarnationAt == 0 ? earlierEnd
-                                        : std::max(earlierEnd, worker.newIncarnationAt + longestMs);
+    ms end = worker.newIncarnationAt == 0 ? 0 : worker.newIncarnationAt + longestMs;
+    return worker.restoredLongLeases ? std::max(end, earlierLeasesEndAt.value_or(beganAt) + longestMs) : end;
+}
+
+// When the leases of a worker that has not reported have ended.
+ms cell_model::unreportedLeaseEnd(const worker_state& worker) const
+{
+    ms earlierEnd = earlierLeasesEndAt.value_or(beganAt + worstLeaseMs(settings.maxLeaseMs));
+    return std::max(earlierEnd, longLeaseEnd(worker));
+}
+
+void cell_model::recordLongLeases(worker_state& worker)
+{
+    for (const task_placement& placement : worker.placements) {
+        if (task_attempt* attempt = findAttempt(placement))
+            attempt->longLease = true;
+        markDirty(*placement.step->job);
+    }
+    worker.hasLongLeases = !worker.placements.empty();
+}
+
+void cell_model::expireLongLeases(worker_state& worker)
+{
+    if (!worker.hasLongLeases || now <= longLeaseEnd(worker))
+        return;
+    worker.hasLongLeases = worker.restoredLongLeases = false;
+    for (const task_placement& placement : worker.placements) {
+        task_attempt* attempt = findAttempt(placement);
+        if (attempt && std::exchange(attempt->longLease, false))
+            markDirty(*placement.step->job);
+    }
 }
 
 // Attempts of the earlier incarnation have ended. But a start that was sent before the new incarnation was
@@ -305,12 +339,19 @@
     if (!worker.hasReported) {
         worker.hasReported = true;
         placingNeeded = true;
+        // Until now the worker accepted orders to its earlier incarnation.
+        if (now <= longLeaseEnd(worker)) {
+            worker.newIncarnationAt = now;
+            worker.restoredLongLeases = false;
+            recordLongLeases(worker);
+        }
         ms earlierLease = std::min(worstLeaseMs(unreportedLeaseEnd(worker) - now), settings.maxLeaseMs);
         worker.leaseUntilWorkerMs
             = std::max(worker.leaseUntilWorkerMs, report.clockWorkerMs + std::max<ms>(0, earlierLease));
         log(log_line("worker_taken")
                 .add("worker", worker.info.id)
-                .add("running", static_cast<int64_t>(report.running.size())));
+                .add("running", static_cast<int64_t>(report.running.size()))
+                .add("lease_ms", worker.leaseUntilWorkerMs - report.clockWorkerMs));
     }
     worker.reportCount++;
     for (const task_completion& completion : report.completions) {
--- a/tests/jobs/cell_driver.h
+++ b/tests/jobs/cell_driver.h
@@ -63,8 +63,8 @@
     std::vector<action> actions; // Collected from the cell and not taken by the test yet.
     std::map<job_id, std::string> progress; // Newest confirmed record of each job.
 
-    cell_driver()
-        : scheduler(cell_settings {}, batchQueue(), [](const log_line&) {})
+    explicit cell_driver(const cell_settings& settings = {})
+        : scheduler(settings, batchQueue(), [](const log_line&) {})
     {
         scheduler.setClock(now, now);
     }
--- a/tests/jobs/restart_test.cpp
+++ b/tests/jobs/restart_test.cpp
@@ -13,6 +13,24 @@
 namespace {
 
 constexpr int64_t laterLifeMs = 9; // Start of a later incarnation than that of workerRecord().
+constexpr ms longestLeaseMs = 10'000; // The longest lease that a worker accepts.
+// The same on the clock of the leader, if that of the worker is 2% slow.
+constexpr ms longestLeaseAtLeaderMs = longestLeaseMs * 100 / 98 + 1;
+
+cell_settings settingsOfLongLeases()
+{
+    cell_settings out;
+    out.leaseMs = 9'800;
+    out.maxLeaseMs = longestLeaseMs;
+    return out;
+}
+
+worker_report reportOfLaterLife()
+{
+    worker_report out;
+    out.startedUnixMs = laterLifeMs;
+    return out;
+}
 
 // Begins with the given jobs and one worker that has reported.
 void begin(cell_driver& driver, const std::map<job_id, job_record>& jobs)
@@ -35,6 +53,25 @@
     driver.runOnce();
 }
 
+// Lets the next leader begin with the job's recorded progress, and returns the time until it starts the task
+// on another worker than `w`, which does not answer.
+ms takeOverWithoutWorker(const cell_driver& earlier, ms earlierLeasesEnd)
+{
+    cell_driver driver(settingsOfLongLeases());
+    driver.now = earlier.now;
+    driver.scheduler.setClock(driver.now, driver.now);
+    driver.scheduler.restoreProgress("j", earlier.progress.at("j"));
+    driver.scheduler.addJob("j", singleStepJob(1));
+    driver.scheduler.setEarlierLeasesEnd(earlierLeasesEnd);
+    driver.scheduler.begin(driver.now, driver.now);
+    addSecondWorker(driver);
+    while (driver.take<start_action>().empty() && driver.now < earlier.now + 60'000) {
+        driver.report("w2", {});
+        driver.runOnce();
+    }
+    return driver.now - earlier.now;
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_CASE(job_with_unreadable_progress_is_not_run_as_new)
@@ -249,6 +286,80 @@
     BOOST_TEST(driver.take<start_action>().empty());
 }
 
+BOOST_AUTO_TEST_CASE(task_on_a_worker_that_had_started_again_does_not_run_twice_after_a_lost_leader)
+{
+    cell_driver driver(settingsOfLongLeases());
+    begin(driver, {});
+    driver.report("w", reportOfLaterLife());
+    ms reportedAt = driver.now;
+    driver.scheduler.addJob("j", singleStepJob(1));
+    driver.runOnce();
+    driver.runOnce();
+    BOOST_REQUIRE(driver.take<start_action>().size() == 1);
+    ms leasesEnd = driver.now + worstLeaseMs(cell_driver::leaseTermMs);
+    ms waited = takeOverWithoutWorker(driver, leasesEnd);
+    BOOST_TEST(driver.now + waited - reportedAt > longestLeaseAtLeaderMs);
+}
+
+BOOST_AUTO_TEST_CASE(start_that_reached_a_later_incarnation_does_not_run_twice_after_a_lost_leader)
+{
+    cell_driver driver(settingsOfLongLeases());
+    begin(driver, { { "j", singleStepJob(1) } });
+    auto starts = driver.take<start_action>();
+    BOOST_REQUIRE(starts.size() == 1);
+    worker_report report = reportOfLaterLife();
+    report.running.push_back({ starts[0].task, 1, "", 0 });
+    driver.report("w", report);
+    ms reportedAt = driver.now;
+    driver.runOnce();
+    ms waited = takeOverWithoutWorker(driver, driver.now + worstLeaseMs(cell_driver::leaseTermMs));
+    BOOST_TEST(driver.now + waited - reportedAt > longestLeaseAtLeaderMs);
+}
+
+BOOST_AUTO_TEST_CASE(restart_of_a_worker_long_ago_does_not_keep_its_tasks_away_after_a_lost_leader)
+{
+    cell_driver driver(settingsOfLongLeases());
+    begin(driver, {});
+    driver.report("w", reportOfLaterLife());
+    driver.scheduler.addJob("j", singleStepJob(1));
+    driver.runOnce();
+    driver.runOnce();
+    auto starts = driver.take<start_action>();
+    BOOST_REQUIRE(starts.size() == 1);
+    worker_report report = reportOfLaterLife();
+    report.running.push_back({ starts[0].task, 1, "", 0 });
+    for (ms end = driver.now + 12'000; driver.now < end;) {
+        driver.report("w", report);
+        driver.runOnce();
+    }
+    ms wait = worstLeaseMs(cell_driver::leaseTermMs);
+    BOOST_TEST(takeOverWithoutWorker(driver, driver.now + wait) < wait + 500);
+}
+
+BOOST_AUTO_TEST_CASE(late_first_report_of_a_later_incarnation_does_not_shorten_its_longest_lease)
+{
+    cell_driver driver(settingsOfLongLeases());
+    begin(driver, {});
+    worker_record laterLife = workerRecord("w");
+    laterLife.startedUnixMs = laterLifeMs;
+    driver.scheduler.setWorker(laterLife, driver.now);
+    for (int i = 0; i < 400; i++)
+        driver.runOnce();
+    driver.report("w", reportOfLaterLife());
+    ms reportedAt = driver.now;
+    driver.scheduler.addJob("j", singleStepJob(1));
+    driver.runOnce();
+    driver.runOnce();
+    BOOST_REQUIRE(driver.take<start_action>().size() == 1);
+    driver.take<poll_action>();
+    addSecondWorker(driver);
+    while (driver.take<start_action>().empty() && driver.now < reportedAt + 60'000) {
+        driver.report("w2", {});
+        driver.runOnce();
+    }
+    BOOST_TEST(driver.now - reportedAt > longestLeaseAtLeaderMs);
+}
+
 BOOST_AUTO_TEST_CASE(attempt_is_not_absent_from_a_full_list_with_an_unreadable_row)
 {
     constexpr size_t listLimit = 500;
