--- a/src/jobs/process/cell_workers.cpp
+++ b/src/jobs/process/cell_workers.cpp
@@ -6,9 +6,15 @@
 // has certainly expired by the worker's clock. An attempt whose start was not answered is stopped, which also
 // makes the worker refuse a late start, and counts as ended when a report that was requested after the answer
 // to the stop does not list it.
+//
+// An order carries a deadline on the worker's clock, which bounds the lease wherever the order is delayed.
+// But the clock of a worker that starts again begins anew, so an order to its earlier incarnation may give it
+// a lease of the worker's maximum. Attempts that may run under such a long lease are recorded as such, so
+// that the next leader waits for it as well.
 #include "jobs/process/cell_model.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace camphorwell {
 
@@ -139,6 +145,7 @@
     for (worker_state* worker : workers.all()) {
         if (!worker->placements.empty() && leaseExpired(*worker))
             dropLostWorker(*worker, "lease_over");
+        expireLongLeases(*worker);
         pollWorker(*worker);
     }
 }
@@ -242,22 +249,51 @@
 bool cell_model::leaseExpired(const worker_state& worker) const
 {
     if (worker.reportedAt == 0)
-        return now > earlierLeasesEnd(worker, majorityReportedAt);
+        return now > std::max(earlierLeasesEnd(majorityReportedAt), longLeaseEnd(worker, majorityReportedAt));
     ms remaining = std::max<ms>(0, worker.leaseUntilWorkerMs - worker.clockWorkerMs);
     return now - worker.clockAt > worstLeaseMs(remaining);
 }
 
-// When the leases of a worker have ended that were not granted by this leader. No earlier leader has had a
-// quorum after `lastQuorumAt`; 0: not known. An order to an earlier incarnation of the worker may have
-// reached the present one, whose clock began anew, so that only the worker's maximum bounds the lease.
-ms cell_model::earlierLeasesEnd(const worker_state& worker, ms lastQuorumAt) const
+// When the leases of earlier leaders have ended. None of them has had a quorum after `lastQuorumAt`; 0: not
+// known.
+ms cell_model::earlierLeasesEnd(ms lastQuorumAt) const
+{
+    if (!earlierLeases)
+        return beganAt + worstLeaseMs(settings.maxLeaseMs);
+    ms quorumEnd = earlierLeases->longestEndAt;
+    if (lastQuorumAt != 0)
+        quorumEnd = std::min(quorumEnd, lastQuorumAt + earlierLeases->quorumMs);
+    return std::max(earlierLeases->endAt, quorumEnd);
+}
+
+// When a lease that an order to an earlier incarnation gave the worker has ended; 0: there is none.
+ms cell_model::longLeaseEnd(const worker_state& worker, ms lastQuorumAt) const
 {
     ms longestMs = worstLeaseMs(settings.maxLeaseMs);
-    earlier_leases leases = earlierLeases.value_or(earlier_leases { beganAt + longestMs, 0, 0 });
-    ms quorumEnd = lastQuorumAt == 0 ? leases.longestEndAt
-                                     : std::min(lastQuorumAt + leases.quorumMs, leases.longestEndAt);
-    ms end = std::max(leases.endAt, quorumEnd);
-    return worker.newIncarnationAt == 0 ? end : std::max(end, worker.newIncarnationAt + longestMs);
+    ms end = worker.newIncarnationAt == 0 ? 0 : worker.newIncarnationAt + longestMs;
+    return worker.restoredLongLeases ? std::max(end, earlierLeasesEnd(lastQuorumAt) + longestMs) : end;
+}
+
+void cell_model::recordLongLeases(worker_state& worker)
+{
+    for (const task_placement& placement : worker.placements) {
+        if (task_attempt* attempt = findAttempt(placement))
+            attempt->longLease = true;
+        markDirty(*placement.step->job);
+    }
+    worker.hasLongLeases = !worker.placements.empty();
+}
+
+void cell_model::expireLongLeases(worker_state& worker)
+{
+    if (!worker.hasLongLeases || now <= longLeaseEnd(worker, majorityReportedAt))
+        return;
+    worker.hasLongLeases = worker.restoredLongLeases = false;
+    for (const task_placement& placement : worker.placements) {
+        task_attempt* attempt = findAttempt(placement);
+        if (attempt && std::exchange(attempt->longLease, false))
+            markDirty(*placement.step->job);
+    }
 }
 
 // Attempts of the earlier incarnation have ended. But a start that was sent before the new incarnation was
@@ -364,12 +400,20 @@
     if (!worker.hasReported) {
         worker.hasReported = true;
         placingNeeded = true;
-        ms earlierLease = std::min(worstLeaseMs(earlierLeasesEnd(worker, now) - now), settings.maxLeaseMs);
+        // Until now the worker accepted orders to its earlier incarnation.
+        if (now <= longLeaseEnd(worker, now)) {
+            worker.newIncarnationAt = now;
+            worker.restoredLongLeases = false;
+            recordLongLeases(worker);
+        }
+        ms earlierEnd = std::max(earlierLeasesEnd(now), longLeaseEnd(worker, now));
+        ms earlierLease = std::min(worstLeaseMs(earlierEnd - now), settings.maxLeaseMs);
         worker.leaseUntilWorkerMs
             = std::max(worker.leaseUntilWorkerMs, report.clockWorkerMs + std::max<ms>(0, earlierLease));
         log(log_line("worker_taken")
                 .add("worker", worker.info.id)
-                .add("running", static_cast<int64_t>(report.running.size())));
+                .add("running", static_cast<int64_t>(report.running.size()))
+                .add("lease_ms", worker.leaseUntilWorkerMs - report.clockWorkerMs));
     }
     worker.reportCount++;
     for (const task_completion& completion : report.completions) {
