Worlds elect their leaders with leader_election and check that lasting tasks run again in time

They looked at lasting tasks only at the end of a world, leaders were replaced by a model that knew the renewals of the leader before, workers were lost one at a time, orders were lost all the time, so that 7 s without a fault never came, and leases were at most 6 s.

Change: - Three instances elect the leader with the class leader_election: claims in a log with offsets, conditional appends, lost answers, late appends, late reads, instances that restart, lose the store and come back, or release the cell. - The check: a lasting task that has run before is away for at most 9 s when the last 7 s were without a fault and a worker had room for it for 3 s.

The check at the end of a world that every service task runs now asks for a worker with room where workers were lost for good.

--- a/standins/fleet_models.h
+++ b/standins/fleet_models.h
@@ -44,6 +44,7 @@
     void restart(ms now);
 
     worker_record record;
+    ms maxLeaseMs = 6000; // Longer leases are cut to this length.
     bool up = true;
     bool reachable = true;
     // Resources that the running tasks reserve. Best-effort tasks reserve no processors.
--- a/tests/jobs/keyed_log.cpp
+++ b/tests/jobs/keyed_log.cpp
@@ -21,6 +21,14 @@
     log.records.push_back(std::move(record));
 }
 
+bool keyed_log::appendAt(size_t partition, uint64_t offset, std::string key, std::string value)
+{
+    if (end(partition) != offset)
+        return false;
+    append(partition, std::move(key), std::move(value));
+    return true;
+}
+
 keyed_log::read_result keyed_log::read(size_t partition, uint64_t from, size_t maxItems) const
 {
     const partition_log& log = m_partitions.at(partition);
--- a/tests/jobs/keyed_log.h
+++ b/tests/jobs/keyed_log.h
@@ -30,7 +30,10 @@
 
     explicit keyed_log(size_t partitions);
     size_t partitions() const { return m_partitions.size(); }
+    uint64_t end(size_t partition) const { return m_partitions.at(partition).end(); }
     void append(size_t partition, std::string key, std::string value);
+    // Appends the record only at this offset. Returns whether it did.
+    bool appendAt(size_t partition, uint64_t offset, std::string key, std::string value);
     read_result read(size_t partition, uint64_t from, size_t maxItems) const;
     // The newest records of the keys after `after`. Pages that are read at different times are no snapshot.
     newest_page readNewest(size_t partition, const std::string& after, size_t maxItems) const;
--- a/tests/jobs/main.cpp
+++ b/tests/jobs/main.cpp
@@ -65,6 +65,7 @@
     std::cout << count << " worlds, " << totals.takeovers << " takeovers, " << totals.forgottenJobs
               << " forgotten jobs, " << totals.repeatedSubmissions << " repeated submissions, "
               << totals.lostPositions << " lost read positions, " << totals.unconfirmedTombstones
-              << " unconfirmed appends of tombstones, " << failedWorlds << " with violated invariants\n";
+              << " unconfirmed appends of tombstones, " << totals.checkedLosses
+              << " checked losses of lasting tasks, " << failedWorlds << " with violated invariants\n";
     return failedWorlds > 0;
 }
--- a/tests/jobs/world.cpp
+++ b/tests/jobs/world.cpp
@@ -7,7 +7,6 @@
 
 namespace {
     constexpr ms tickIntervalMs = 25;
-    constexpr ms leaseTermMs = 6000; // Leases end at most this long after the last renewal of their leader.
     constexpr ms answerTimeoutMs = 1200;
     // A start ordered more than this long after its job was cancelled is a violation.
     constexpr ms cancelDeadlineMs = 3000;
@@ -15,6 +14,7 @@
     constexpr ms restartDeadlineMs = 2000;
     // Time after the fault phase at which the last leader is replaced once more.
     constexpr ms lastTakeoverMs = 20'000;
+    constexpr size_t instances = 3;
     constexpr size_t logPartitions = 3;
     constexpr const char* quickQueue = "quick";
     constexpr const char* batchQueue = "batch";
@@ -27,6 +27,7 @@
     repeatedSubmissions += other.repeatedSubmissions;
     lostPositions += other.lostPositions;
     unconfirmedTombstones += other.unconfirmedTombstones;
+    checkedLosses += other.checkedLosses;
     return *this;
 }
 
@@ -40,7 +41,9 @@
     m_tombstonePeriodMs = randomInt(200, 2000);
     m_tombstonesPerAppend = static_cast<size_t>(randomInt(1, 8));
     m_itemsPerRead = static_cast<size_t>(randomInt(1, 20));
-    m_slowReads = chance(0.3) ? 0.2 : 0.02;
+    m_slowReads = chance(0.6) ? 0.2 : 0.02;
+    m_comesInBursts = chance(0.4);
+    m_maxLeaseMs = chance(0.5) ? 10'000 : 6000;
     (*m_queues)[quickQueue] = { quickQueue, "service", 0, 3, 1.5, 250, false, 0 };
     (*m_queues)[batchQueue] = { batchQueue, "service", 2, 3, 2.0, 1000, false, 0 };
     for (int i = 0; i < settings.workers; i++) {
@@ -53,8 +56,11 @@
         record.capacity = { 8000, 16000, 0, 0 };
         record.startedUnixMs = 1;
         double clockRate = 0.98 + 0.04 * static_cast<double>(randomInt(0, 100)) / 100;
+        if (chance(0.4))
+            clockRate = chance(0.5) ? 0.98 : 1.02;
         auto worker
             = std::make_unique<model_worker>(record, settings.workersCheckCapacity, clockRate, m_history);
+        worker->maxLeaseMs = m_maxLeaseMs;
         worker->specOf = [this](const task_ref& task) { return stepOf(task); };
         m_workers[record.id] = std::move(worker);
     }
@@ -106,7 +112,7 @@
             step.requiredLabel = "a";
         out.spec.steps.push_back(step);
     }
-    if (chance(0.15)) {
+    if (chance(m_comesInBursts ? 0.25 : 0.15)) {
         out.spec.steps.resize(1);
         out.spec.steps[0].isService = true;
         out.spec.steps[0].isBestEffort = out.spec.steps[0].gang = false;
@@ -119,53 +125,30 @@
     return out;
 }
 
-bool world::reachesStore(const leader_instance& leader) const
+bool world::undisturbed() const
 {
-    return leader.storeReachable && m_now >= m_storeDownUntil;
+    return m_now > m_start + m_settings.faultPhase || (m_comesInBursts && m_now >= m_burstEndsAt);
+}
+
+bool world::reachesStore(const instance& from) const
+{
+    return m_now >= std::max(from.cutUntil, m_storeDownUntil);
 }
 
 bool world::leadsNow(const leader_instance& leader) const
 {
-    return leader.token == m_latestToken && reachesStore(leader);
-}
-
-void world::takeOver()
-{
-    m_counts.takeovers++;
-    m_latestToken++;
-    auto leader = std::make_shared<leader_instance>();
-    leader->token = m_latestToken;
-    leader->renewedAt = m_now;
-    leader->cursors.resize(m_jobLog.partitions());
-    cell_settings settings;
-    settings.leaseMs = 5000;
-    settings.pollWaitMs = 200;
-    settings.finishedRetentionMs = m_retentionMs;
-    settings.fault = m_settings.fault;
-    leader->scheduler
-        = std::make_unique<cell>(settings, m_queues, [this, token = m_latestToken](const log_line& line) {
-              m_log.push_back(std::to_string(m_now) + " leader=" + std::to_string(token) + " " + line.str());
-          });
-    leader->scheduler->setClock(m_now, unixOriginMs + m_now);
-    for (const auto& [id, bytes] : m_progress)
-        leader->scheduler->restoreProgress(id, bytes);
-    if (!m_leaders.empty())
-        m_earlierLeasesEndAt
-            = std::max(m_earlierLeasesEndAt, m_leaders.back()->renewedAt + worstLeaseMs(leaseTermMs));
-    leader->scheduler->setEarlierLeasesEnd(m_earlierLeasesEndAt);
-    m_leaders.push_back(leader);
-    checkStates(*leader);
-    // Reading the log takes time, during which the previous leader continues to run.
-    leader->recoveryStepsLeft = static_cast<int>(m_jobLog.partitions());
-    for (size_t partition = 0; partition < m_jobLog.partitions(); partition++)
-        runAfter(randomInt(5, 100), [this, leader, partition] { recoverJobs(leader, partition); });
+    return leader.token == m_latestToken && reachesStore(*leader.owner);
+}
+
+world::leader_ptr world::currentLeader() const
+{
+    return m_leaders.empty() || !m_leaders.back()->alive ? nullptr : m_leaders.back();
 }
 
-// Ends the leader and starts another after a pause.
 void world::replaceLeader(ms pause)
 {
-    m_leaders.back()->alive = false;
-    runAfter(pause, [this] { takeOver(); });
+    if (auto leader = currentLeader())
+        crashInstance(leader->owner, pause);
 }
 
 void world::setWorkers(leader_instance& leader)
@@ -186,11 +169,9 @@
         leader->alive = false;
         return;
     }
-    if (leadsNow(*leader)) {
-        leader->renewedAt = m_now;
+    if (leadsNow(*leader))
         setWorkers(*leader);
-    }
-    leader->scheduler->setLeaseLimit(leader->renewedAt + leaseTermMs);
+    leader->scheduler->setLeaseLimit(leader->owner->election->leaseLimit());
     leader->scheduler->setJobLogReadUpTo(jobLogReadUpTo(*leader));
     leader->scheduler->tick(m_now, unixOriginMs + m_now);
     processActions(leader);
@@ -217,7 +198,7 @@
 {
     if (!leader->alive)
         return;
-    if (!reachesStore(*leader)) {
+    if (!reachesStore(*leader->owner)) {
         runAfter(150, [this, leader] { append(leader); });
         return;
     }
@@ -256,8 +237,10 @@
         reply(order_outcome::no_answer);
         processActions(leader);
     });
-    bool delayed = !settling() && chance(0.03);
-    bool answerLost = !settling() && chance(0.02);
+    bool delayed = !undisturbed() && chance(0.03);
+    bool answerLost = !undisturbed() && chance(0.02);
+    if (delayed || answerLost)
+        noteFault(m_now + answerTimeoutMs);
     int64_t incarnation = worker.record.startedUnixMs;
     runAfter(delayed ? randomInt(2000, 12000) : randomInt(1, 8),
         [this, &worker, leader, order = std::move(order), reply, delayed, answerLost, incarnation] {
@@ -265,6 +248,8 @@
             // incarnation is an open question (docs/QUESTIONS.md).
             if (!worker.up || !worker.reachable || worker.record.startedUnixMs != incarnation)
                 return;
+            if (delayed)
+                noteFault();
             order_outcome outcome = order(worker);
             if (delayed || answerLost)
                 return;
@@ -293,6 +278,9 @@
                 order_outcome outcome = worker.start(
                     order, fencingToken(leader->token, order.incarnation), m_now, workMs, fails);
                 if (m_history.size() > earlierAttempts) {
+                    noteUse(worker);
+                    if (stepOf(order.task)->isService)
+                        m_lastingRuns.push_back(earlierAttempts);
                     checkStart(order, *leader, earlierAttempts);
                     checkStartOfEndedJob(order, *leader, sentAt, readUpTo, readsSlowUntil);
                 }
@@ -391,7 +379,7 @@
     if (!job.cancelledAt)
         return;
     bool mustKnow = sentAt > std::max(*job.cancelledAt, readsSlowUntil) + cancelDeadlineMs
-        && leader.token == m_latestToken && leader.storeReachable && m_now - sentAt < 1000;
+        && leader.token == m_latestToken && leader.owner->cutUntil <= sentAt && m_now - sentAt < 1000;
     if (mustKnow || readUpTo > *job.cancelledAt)
         reportViolation("started after the job was cancelled: " + order.task.str());
 }
@@ -471,47 +459,71 @@
     }
 }
 
+model_worker& world::randomWorker()
+{
+    auto chosen = m_workers.begin();
+    std::advance(chosen, randomInt(0, static_cast<ms>(m_workers.size()) - 1));
+    return *chosen->second;
+}
+
+// The worker comes back as a new incarnation after the pause.
+void world::crashWorker(model_worker& worker, ms pause)
+{
+    if (!worker.up)
+        return;
+    noteFault();
+    worker.crash(m_now);
+    runAfter(pause, [this, &worker] {
+        noteFault();
+        worker.restart(m_now);
+    });
+}
+
+// The worker is unreachable but continues to run.
+void world::cutWorker(model_worker& worker, ms duration)
+{
+    noteFault();
+    worker.reachable = false;
+    runAfter(duration, [this, &worker] {
+        noteFault();
+        worker.reachable = true;
+    });
+}
+
 void world::injectFault()
 {
-    auto randomWorker = [this] {
-        auto chosen = m_workers.begin();
-        std::advance(chosen, randomInt(0, static_cast<ms>(m_workers.size()) - 1));
-        return chosen->second.get();
-    };
-    switch (randomInt(0, 8)) {
-    case 0: { // A worker crashes and restarts as a new incarnation.
-        model_worker* worker = randomWorker();
-        if (!worker->up)
-            break;
-        worker->crash(m_now);
-        runAfter(randomInt(500, 9000), [this, worker] { worker->restart(m_now); });
+    switch (randomInt(0, 9)) {
+    case 0:
+        crashWorker(randomWorker(), randomInt(500, 9000));
         break;
-    }
-    case 1: { // A worker is unreachable but continues to run.
-        model_worker* worker = randomWorker();
-        worker->reachable = false;
-        runAfter(randomInt(500, 10000), [worker] { worker->reachable = true; });
+    case 1:
+        cutWorker(randomWorker(), randomInt(500, 10'000));
         break;
-    }
-    case 2: // The leader crashes and is replaced.
+    case 2: // The leader crashes. Soon back, its instance leads again; otherwise another one does.
         replaceLeader(randomInt(50, 3000));
         break;
-    case 3: // The leader loses the store, continues to run and is replaced.
-        m_leaders.back()->storeReachable = false;
-        runAfter(randomInt(500, 3000), [this] { takeOver(); });
+    case 3: // The leader loses the store, continues to run and is replaced unless it is back in time.
+        if (auto leader = currentLeader())
+            cutInstance(leader->owner, randomInt(500, 6000));
         break;
-    case 4: // The store is unreachable for all leaders.
+    case 4: // The store is unreachable for all instances.
         m_storeDownUntil = m_now + randomInt(500, 5000);
+        noteFault(m_storeDownUntil);
         break;
     case 5: { // A worker drains, shuts down and later restarts.
-        model_worker* worker = randomWorker();
+        model_worker* worker = &randomWorker();
         if (!worker->up || worker->record.draining)
             break;
+        noteFault();
         worker->record.draining = true;
         runAfter(randomInt(2500, 5000), [this, worker] {
+            noteFault();
             worker->crash(m_now);
             worker->record.draining = false;
-            runAfter(3000, [this, worker] { worker->restart(m_now); });
+            runAfter(3000, [this, worker] {
+                noteFault();
+                worker->restart(m_now);
+            });
         });
         break;
     }
@@ -521,27 +533,79 @@
         break;
     case 7: // The store serves no reads of the job log.
         m_readsDownUntil = m_now + randomInt(500, 6000);
+        noteFault(m_readsDownUntil);
         break;
     case 8: // The store refuses the leader's appends to the job log.
         m_tombstonesRefusedUntil = m_now + randomInt(1000, 10000);
         break;
+    case 9: // The leader is stopped as planned.
+        if (auto leader = currentLeader())
+            releaseLeadership(leader->owner, randomInt(500, 5000));
+        break;
     }
 }
 
+void world::injectCombination()
+{
+    // Either they are back soon, or not before the lasting tasks must run again.
+    auto pause = [this] { return chance(0.3) ? randomInt(50, 3000) : randomInt(9500, 20'000); };
+    if (auto leader = currentLeader()) {
+        if (chance(0.6))
+            crashInstance(leader->owner, pause());
+        else if (chance(0.7))
+            cutInstance(leader->owner, pause());
+    }
+    for (ms count = randomInt(1, 4); count > 0; count--) {
+        model_worker& worker = randomWorker();
+        // One of each label at most is lost for good, so that the others have capacity for all jobs.
+        if (worker.up && !m_labelsGone.contains(worker.record.labels[0]) && chance(0.4)) {
+            m_labelsGone.insert(worker.record.labels[0]);
+            noteFault();
+            worker.crash(m_now);
+        } else if (chance(0.4)) {
+            crashWorker(worker, pause());
+        } else {
+            cutWorker(worker, pause());
+        }
+    }
+}
+
+void world::injectBurst(ms duration)
+{
+    m_burstEndsAt = m_now + duration;
+    injectCombination();
+    for (ms faultAt = randomInt(300, 1500); faultAt < duration; faultAt += randomInt(300, 1500))
+        runAfter(faultAt, [this] { injectFault(); });
+    ms calmMs = randomInt(10'000, 13'000);
+    if (m_burstEndsAt + calmMs < m_start + m_settings.faultPhase)
+        runAfter(duration + calmMs, [this] { injectBurst(chance(0.5) ? 0 : randomInt(200, 2500)); });
+}
+
 std::vector<std::string> world::run()
 {
-    takeOver();
+    for (size_t number = 0; number < instances; number++)
+        startInstance(number);
     ms faultsEnd = m_settings.faultPhase;
     for (int i = 0; i < m_settings.jobs; i++)
         runAfter(randomInt(0, faultsEnd), [this] { submit(); });
-    for (ms faultAt = randomInt(500, 3000); faultAt < faultsEnd; faultAt += randomInt(300, 4000))
-        runAfter(faultAt, [this] { injectFault(); });
+    if (m_comesInBursts) {
+        runAfter(randomInt(4000, 8000), [this] { injectBurst(chance(0.5) ? 0 : randomInt(200, 2500)); });
+    } else {
+        for (ms faultAt = randomInt(500, 3000); faultAt < faultsEnd; faultAt += randomInt(300, 4000))
+            runAfter(faultAt, [this] { injectFault(); });
+    }
     runAfter(faultsEnd, [this] {
+        noteFault();
         for (auto& [id, worker] : m_workers)
             worker->reachable = true;
     });
     // The last leader reads what the earlier ones have left in the log.
-    runAfter(faultsEnd + lastTakeoverMs, [this] { replaceLeader(50); });
+    runAfter(faultsEnd + lastTakeoverMs, [this] {
+        if (m_comesInBursts)
+            injectCombination();
+        replaceLeader(50);
+    });
+    checkLastingTasks();
     ms endAt = m_start + m_settings.faultPhase + m_settings.settlePhase;
     ms advancedTo = 0;
     while (!m_events.empty() && m_events.front().dueAt <= endAt) {
@@ -564,11 +628,11 @@
 void world::checkFinalState()
 {
     checkNothingRanAfterItsEnd();
-    const leader_instance& leader = *m_leaders.back();
-    if (!leader.alive) {
+    if (!currentLeader()) {
         reportViolation("no leader at the end");
         return;
     }
+    const leader_instance& leader = *currentLeader();
     for (const auto& [jobId, job] : m_jobs) {
         const job_id& id = jobId;
         auto state = leader.scheduler->stateOf(id);
@@ -590,7 +654,9 @@
                           return attempt.task.job == id && attempt.task.index == index
                               && (!attempt.endedAt || *attempt.endedAt > m_now - restartDeadlineMs);
                       });
-                if (!running)
+                // The workers that are left may be full.
+                bool fits = m_labelsGone.empty() || hadRoom({ id, 0, 0, index }, m_now - restartDeadlineMs);
+                if (!running && fits)
                     reportViolation("service task does not run: " + id + " " + std::to_string(index));
             }
         } else if (*state != job_state::completed && *state != job_state::failed) {
--- a/tests/jobs/world.h
+++ b/tests/jobs/world.h
@@ -1,12 +1,16 @@
-// Randomised simulation of one cell in virtual time. Leaders crash or lose the store and are replaced,
-// workers crash, drain, lose the network or answer late, orders are lost or delivered seconds late, answers
-// are lost, and appends of a replaced leader are refused. Callers repeat submissions and cancels at other
+// Randomised simulation of one cell in virtual time. Instances elect a leader by claims in the store, crash,
+// restart, release the cell or lose the store and go on. Workers crash, drain, lose the network or answer
+// late, orders are lost or delivered seconds late, answers are lost, and appends of a replaced leader are
+// refused. In most worlds the faults come all the time; in the others they come together, often as the
+// loss of the leader with several workers, and calm follows. Callers repeat submissions and cancels at other
 // instances, tombstones of finished jobs are refused, lost or appended late, leaders read the job log in
 // pieces, late, or from its newest records, and finished jobs are forgotten. Invariants are checked only
 // against what the workers ran and the job states that callers can see.
 //
-// world.cpp          time, faults, leaders, orders to workers, checks
-// world_job_log.cpp  callers, the job log, its readers and its tombstones
+// world.cpp                time, faults, leaders, orders to workers, checks
+// world_election.cpp       instances and their claims
+// world_job_log.cpp        callers, the job log, its readers and its tombstones
+// world_lasting_tasks.cpp  the check that lasting tasks run again in time
 #pragma once
 
 #include "scheduler/process/job_tombstones.h"
@@ -37,6 +41,7 @@
     int repeatedSubmissions = 0; // Records appended for jobs that had one.
     int lostPositions = 0; // Reads at positions whose records had expired.
     int unconfirmedTombstones = 0; // Appends of tombstones that were refused or not answered.
+    int checkedLosses = 0; // Runs of lasting tasks that were lost and had to be replaced by a checked time.
     world_counts& operator+=(const world_counts&);
 };
 
@@ -53,6 +58,8 @@
 private:
     static constexpr int64_t unixOriginMs = 1'700'000'000'000; // Unix time at the virtual time 0.
 
+    struct instance;
+    using instance_ptr = std::shared_ptr<instance>;
     struct leader_instance;
     using leader_ptr = std::shared_ptr<leader_instance>;
     struct newest_read {
@@ -81,13 +88,18 @@
     void runAfter(ms delay, std::function<void()>);
     ms randomInt(ms low, ms high);
     bool chance(double probability);
-    bool settling() const { return m_now > m_start + m_settings.faultPhase; }
-    bool reachesStore(const leader_instance&) const;
+    // Whether no order, append or read is lost or late now.
+    bool undisturbed() const;
+    // A fault began or ended now, or lasts until the given time.
+    void noteFault() { noteFault(m_now); }
+    void noteFault(ms until) { m_lastFaultAt = std::max(m_lastFaultAt, until); }
+    bool reachesStore(const instance&) const;
     bool readsJobLog(const leader_instance&) const;
     // Whether the leader is the newest and has renewed its claim at this moment.
     bool leadsNow(const leader_instance&) const;
     job_record randomJob();
-    void takeOver();
+    // The newest leader that still acts; null between two leaders.
+    leader_ptr currentLeader() const;
     void replaceLeader(ms pause);
     void setWorkers(leader_instance&);
     void tickLeader(const leader_ptr&);
@@ -98,7 +110,32 @@
     // delayed and answers lost; `onAnswer` then gets no_answer after a timeout.
     void call(const leader_ptr&, const worker_id&, std::function<order_outcome(model_worker&)> order,
         std::function<void(order_outcome)> onAnswer);
+    model_worker& randomWorker();
+    void crashWorker(model_worker&, ms pause);
+    void cutWorker(model_worker&, ms duration);
     void injectFault();
+    // The leader and some workers are lost at the same moment.
+    void injectCombination();
+    // Runs faults that come together, `duration` long, and further ones while the fault phase lasts.
+    void injectBurst(ms duration);
+
+    // world_election.cpp
+    void startInstance(size_t number);
+    // Ends the instance and starts its next incarnation after a pause.
+    void crashInstance(const instance_ptr&, ms pause);
+    // The instance goes on without the store.
+    void cutInstance(const instance_ptr&, ms duration);
+    void releaseLeadership(const instance_ptr&, ms pause);
+    void tickInstance(const instance_ptr&);
+    void readClaims(const instance_ptr&);
+    void followClaims(const instance_ptr&);
+    void requestClaims(const instance_ptr&, ms sentAt);
+    // Duration of a read of the claims.
+    ms claimReadMs();
+    void appendClaim(const instance_ptr&, leader_election::step);
+    void onClaimAnswered(const instance_ptr&);
+    void stepDown(instance&);
+    void takeOver(const instance_ptr&);
 
     // world_job_log.cpp
     void submit();
@@ -142,6 +179,12 @@
     // the order, `readUpTo` and `readsSlowUntil` are the leader's at that time.
     void checkStartOfEndedJob(
         const start_action&, const leader_instance&, ms sentAt, ms readUpTo, ms readsSlowUntil);
+    // world_lasting_tasks.cpp
+    void checkLastingTasks();
+    bool hasRoom(const model_worker&) const;
+    // The worker has no room for a lasting task now, or may have none.
+    void noteUse(const model_worker&);
+    bool hadRoom(const task_ref&, ms since) const;
     void checkFinalState();
     void checkNothingRanAfterItsEnd();
     void reportViolation(std::string);
@@ -166,8 +209,16 @@
     ms m_tombstonesRefusedUntil = 0;
     size_t m_tombstonesPerAppend = 0;
     std::map<job_id, std::string> m_progress;
-    uint64_t m_latestToken = 0;
-    ms m_earlierLeasesEndAt = 0; // End of all leases of the leaders before the latest one.
+    uint64_t m_latestToken = 0; // Appends of progress under a lower one are refused.
+    keyed_log m_claims { 1 };
+    std::vector<instance_ptr> m_instances;
+    bool m_comesInBursts = false; // The faults come together, with calm between.
+    ms m_burstEndsAt = 0;
+    ms m_lastFaultAt = 0; // Latest beginning or end of a fault.
+    std::set<std::string> m_labelsGone; // First labels of the workers that are lost for good.
+    ms m_maxLeaseMs = 0;
+    std::vector<size_t> m_lastingRuns; // Positions of the runs of lasting tasks in `m_history`.
+    std::map<worker_id, ms> m_roomSince; // Since when the worker has had room for lasting tasks.
     ms m_storeDownUntil = 0;
     std::vector<leader_ptr> m_leaders;
     std::shared_ptr<queue_table> m_queues;
@@ -177,6 +228,15 @@
     world_counts m_counts;
 };
 
+// One incarnation of an instance of the scheduler.
+struct world::instance {
+    size_t number = 0;
+    std::unique_ptr<leader_election> election;
+    bool up = true;
+    ms cutUntil = 0; // It does not reach the store before.
+    leader_ptr leader; // While it leads.
+};
+
 struct world::leader_instance {
     // Read position in one partition of the job log.
     struct log_cursor {
@@ -185,9 +245,8 @@
     };
 
     uint64_t token = 0;
-    ms renewedAt = 0;
+    instance_ptr owner;
     bool alive = true;
-    bool storeReachable = true;
     std::vector<log_cursor> cursors;
     job_tombstones tombstones;
     int recoveryStepsLeft = 0;
--- a/tests/jobs/world_job_log.cpp
+++ b/tests/jobs/world_job_log.cpp
@@ -33,7 +33,7 @@
 bool world::sendToLog(std::function<void(size_t partition)> land)
 {
     auto partition = static_cast<size_t>(randomInt(0, static_cast<ms>(m_jobLog.partitions()) - 1));
-    bool answered = settling() || !chance(0.1);
+    bool answered = undisturbed() || !chance(0.1);
     bool late = !answered && chance(0.5);
     runAfter(late ? randomInt(500, longestLateAppendMs) : randomInt(2, 20),
         [land = std::move(land), partition] { land(partition); });
@@ -91,15 +91,16 @@
 
 bool world::readsJobLog(const leader_instance& leader) const
 {
-    return reachesStore(leader) && m_now >= m_readsDownUntil;
+    return reachesStore(*leader.owner) && m_now >= m_readsDownUntil;
 }
 
 ms world::readAnswerMs(leader_instance& leader)
 {
-    if (settling() || !chance(m_slowReads))
+    if (undisturbed() || !chance(m_slowReads))
         return randomInt(1, 8);
     ms out = randomInt(500, 3000);
     leader.readsSlowUntil = std::max(leader.readsSlowUntil, m_now + out);
+    noteFault(m_now + out);
     return out;
 }
 
@@ -157,6 +158,7 @@
         if (worker->up)
             leader->scheduler->setWorker(worker->record, m_now);
     }
+    leader->scheduler->setEarlierLeasesEnd(leader->owner->election->earlierLeasesEndAt());
     leader->scheduler->begin(m_now, unixOriginMs + m_now);
     for (size_t partition = 0; partition < m_jobLog.partitions(); partition++)
         followJobs(leader, partition);
@@ -264,14 +266,14 @@
         onTombstonesAppended(leader, batch, durable);
         appendTombstones(leader, partition);
     };
-    if (!settling() && chance(0.1))
+    if (!undisturbed() && chance(0.1))
         replaceLeader(randomInt(50, 3000));
-    bool refused = !reachesStore(*leader) || m_now < m_tombstonesRefusedUntil;
+    bool refused = !reachesStore(*leader->owner) || m_now < m_tombstonesRefusedUntil;
     if (refused) {
         runAfter(randomInt(2, 20), [answer] { answer(false); });
         return;
     }
-    bool answered = settling() || !chance(0.3);
+    bool answered = undisturbed() || !chance(0.3);
     bool executed = answered || !chance(0.3);
     bool late = !answered && chance(0.5);
     if (executed)
