--- a/src/jobs/process/cell.h
+++ b/src/jobs/process/cell.h
@@ -34,7 +34,9 @@
     forget_by_clock, // Finished jobs are forgotten after the retention while records of them remain.
     keep_repeated_records, // Records of a finished job that are read again are not deleted.
     forget_unconfirmed, // Records of finished jobs count as deleted before that is durable.
-    forget_unread // The retention of finished jobs ends before all of the job log up to then has been read.
+    forget_unread, // The retention of finished jobs ends before all of the job log up to then has been read.
+    count_longest_leases, // Leases of earlier leaders count as the longest possible, from the takeover on.
+    count_short_leases // Leases of earlier leaders count as ended before they have.
 };
 
 struct cell_settings {
--- a/src/jobs/process/cell_workers.cpp
+++ b/src/jobs/process/cell_workers.cpp
@@ -22,6 +22,7 @@
     constexpr ms overdueRenewalLeaseMs = 4000;
     constexpr ms overdueRenewalPollWaitMs
         = 300; // Wait of a poll then, so that a late renewal extends leases soon.
+    constexpr ms longestGrantWindowMs = 6000; // Of cell_fault::count_longest_leases.
     constexpr ms stopRetryMs = 700; // An unanswered stop is sent again after this time.
     // Maximum rate of polls of all workers together, not counting polls that return early for a completion.
     constexpr ms maxPollsPerSecond = 500;
@@ -198,6 +199,10 @@
 {
     ms longestMs = worstLeaseMs(settings.maxLeaseMs);
     ms earlierEnd = earlierLeasesEndAt.value_or(beganAt + longestMs);
+    if (hasFault(cell_fault::count_longest_leases))
+        earlierEnd = beganAt + longestGrantWindowMs + longestMs;
+    if (hasFault(cell_fault::count_short_leases))
+        earlierEnd -= settings.maxLeaseMs / 2;
     return worker.newIncarnationAt == 0 ? earlierEnd
                                         : std::max(earlierEnd, worker.newIncarnationAt + longestMs);
 }
--- a/tests/jobs/jobs_test.cpp
+++ b/tests/jobs/jobs_test.cpp
@@ -835,15 +835,36 @@
 // Shows that the invariants can fail: each deliberate fault must violate one in at least one world.
 BOOST_AUTO_TEST_CASE(deliberate_faults_are_caught)
 {
-    for (auto fault :
-        { cell_fault::acknowledge_early, cell_fault::start_without_record, cell_fault::drop_silent_workers,
-            cell_fault::forget_restored, cell_fault::restart_unanswered_starts, cell_fault::ignore_order,
-            cell_fault::ignore_attempts, cell_fault::early_occurrences, cell_fault::reserve_nothing,
-            cell_fault::ignore_cancels, cell_fault::forget_by_clock, cell_fault::keep_repeated_records,
-            cell_fault::forget_unconfirmed, cell_fault::forget_unread }) {
+    for (auto fault : { cell_fault::acknowledge_early, cell_fault::start_without_record,
+             cell_fault::drop_silent_workers, cell_fault::forget_restored,
+             cell_fault::restart_unanswered_starts, cell_fault::ignore_order, cell_fault::ignore_attempts,
+             cell_fault::early_occurrences, cell_fault::reserve_nothing, cell_fault::ignore_cancels,
+             cell_fault::forget_by_clock, cell_fault::keep_repeated_records, cell_fault::forget_unconfirmed,
+             cell_fault::forget_unread, cell_fault::count_longest_leases, cell_fault::count_short_leases }) {
         bool caught = false;
         for (uint64_t seed = 1; seed <= 60 && !caught; seed++)
             caught = !runWorld(seed, fault).empty();
         BOOST_TEST(caught, "fault " << static_cast<int>(fault) << " is not caught");
     }
 }
+
+BOOST_AUTO_TEST_CASE(miscounted_leases_violate_the_invariants_they_should)
+{
+    struct expectation {
+        cell_fault fault;
+        std::string violation;
+    };
+    const expectation expectations[] = {
+        { cell_fault::count_longest_leases, "lasting task stays away" },
+        { cell_fault::count_short_leases, "two attempts run at the same time" },
+    };
+    for (const auto& expected : expectations) {
+        bool caught = false;
+        for (uint64_t seed = 1; seed <= 60 && !caught; seed++) {
+            auto violations = runWorld(seed, expected.fault);
+            caught = std::any_of(violations.begin(), violations.end(),
+                [&](const std::string& violation) { return violation.starts_with(expected.violation); });
+        }
+        BOOST_TEST(caught, expected.violation);
+    }
+}
