Tasks of a worker that restarts out of reach no longer wait for its longest lease

Cause: a start that was sent before the new incarnation was known may have reached it, so all attempts of the earlier incarnation were kept until the new one reported, or for its longest lease from then on: 10.6 s with maxLeaseMs 10,000.

Change: an attempt that a report of the earlier incarnation has listed has received its only start there. It has ended with that incarnation, and its task is queued again at once. An answer to the start is no such evidence, since the new incarnation may have given it; those attempts are kept as before, as are attempts that only a record of an earlier leader names.

Evidence: a_task_of_a_worker_that_restarts_out_of_reach_runs_again_at_once failed before and passes now; a_start_that_may_have_reached_a_new_incarnation_is_not_repeated passes before and after.

--- a/src/jobs/process/cell_model.h
+++ b/src/jobs/process/cell_model.h
@@ -35,6 +35,8 @@
     ms stopSentAt = 0;
     ms stopAnsweredAt = 0;
     uint64_t listedInReport = 0; // worker_state::reportCount of the last report that lists the attempt.
+    // Start time of the worker's incarnation that listed the attempt; 0: none has, or its report lacks it.
+    int64_t listedByStartedUnixMs = 0;
     int percent = 0;
     ms percentChangedAt = 0;
     // Start of the current speed measurement, and the progress and pace at that time.
@@ -382,7 +384,7 @@
     void setWorker(const worker_record&);
     void removeWorker(const worker_id&);
     void onReport(worker_state&, const worker_report&, ms sentAt);
-    void handleListed(worker_state&, const running_task&);
+    void handleListed(worker_state&, const running_task&, int64_t startedUnixMs);
     void handleUnlisted(worker_state&, ms sentAt);
     void countFailedPoll(worker_state&);
     void pollWorkers();
@@ -390,6 +392,7 @@
     void resendStops(worker_state&);
     void handleNewIncarnation(worker_state&);
     void dropLostWorker(worker_state&, std::string_view reason);
+    void endAttempts(worker_state&, const std::vector<task_placement>&, std::string_view gangReason);
     ms leaseLength() const; // Of a lease granted now; not positive if none may be granted.
     bool mayStartTasks() const;
     bool leaseExpired(const worker_state&) const;
--- a/src/jobs/process/cell_workers.cpp
+++ b/src/jobs/process/cell_workers.cpp
@@ -208,7 +208,8 @@
 }
 
 // Attempts of the earlier incarnation have ended. But a start that was sent before the new incarnation was
-// known may have reached it, so the attempts are kept until the new incarnation reports.
+// known may have reached it, so attempts that the earlier one has not listed are kept until the new one
+// reports.
 void cell_model::handleNewIncarnation(worker_state& worker)
 {
     log(log_line("worker_new_life")
@@ -222,11 +223,27 @@
     worker.leaseUntilWorkerMs = worker.clockWorkerMs = 0;
     worker.reportedAt = 0;
     std::erase_if(writingCompletions, [&](const auto& entry) { return entry.first == &worker; });
+    std::vector<task_placement> ended;
     for (const task_placement& placement : worker.placements) {
         task_attempt* attempt = findAttempt(placement);
-        if (attempt && attempt->phase == attempt_phase::stopping)
+        if (attempt && attempt->listedByStartedUnixMs != 0)
+            ended.push_back(placement);
+        else if (attempt && attempt->phase == attempt_phase::stopping)
             attempt->stopAnsweredAt = attempt->stopSentAt = 0;
     }
+    endAttempts(worker, ended, "gang_member_lost");
+}
+
+// Ends attempts that certainly do not run any more, and queues their tasks again.
+void cell_model::endAttempts(
+    worker_state& worker, const std::vector<task_placement>& ended, std::string_view gangReason)
+{
+    for (const task_placement& placement : ended) {
+        removeAttempt(*placement.step, placement.index, worker, placement.attempt);
+        markDirty(*placement.step->job);
+        stopGang(*placement.step, gangReason);
+        requeue(*placement.step, placement.index);
+    }
 }
 
 void cell_model::dropLostWorker(worker_state& worker, std::string_view reason)
@@ -241,13 +258,7 @@
     worker.processedSequence = worker.acknowledgedSequence = 0;
     worker.leaseUntilWorkerMs = worker.clockWorkerMs = 0;
     std::erase_if(writingCompletions, [&](const auto& entry) { return entry.first == &worker; });
-    std::vector<task_placement> lost = worker.placements;
-    for (const task_placement& placement : lost) {
-        removeAttempt(*placement.step, placement.index, worker, placement.attempt);
-        markDirty(*placement.step->job);
-        stopGang(*placement.step, "gang_member_lost");
-        requeue(*placement.step, placement.index);
-    }
+    endAttempts(worker, std::vector(worker.placements), "gang_member_lost");
 }
 
 void cell_model::countFailedPoll(worker_state& worker)
@@ -329,14 +340,14 @@
     worker.unknownAttempts = 0;
     worker.listedAttempts = 0;
     for (const running_task& running : report.running)
-        handleListed(worker, running);
+        handleListed(worker, running, report.startedUnixMs);
     size_t listedCompletions = std::max(report.listedCompletions, report.completions.size());
     if (worker.listedAttempts < worker.placements.size() && listedCompletions < maxListedCompletions)
         handleUnlisted(worker, sentAt);
     pollWorker(worker);
 }
 
-void cell_model::handleListed(worker_state& worker, const running_task& listedTask)
+void cell_model::handleListed(worker_state& worker, const running_task& listedTask, int64_t startedUnixMs)
 {
     step_run* step = findStep(listedTask.task);
     task_attempt* attempt = step ? findAttempt({ step, listedTask.task.index, listedTask.attempt }) : nullptr;
@@ -360,6 +371,7 @@
     }
     worker.listedAttempts += attempt->listedInReport != worker.reportCount;
     attempt->listedInReport = worker.reportCount;
+    attempt->listedByStartedUnixMs = startedUnixMs;
     markStarted(*step->job);
     bool restored = attempt->phase == attempt_phase::restored;
     if (attempt->phase == attempt_phase::starting || restored) {
--- a/tests/jobs/jobs_test.cpp
+++ b/tests/jobs/jobs_test.cpp
@@ -246,6 +246,57 @@
     BOOST_TEST(fencingToken(6, 0) > fencingToken(5, laterPolls[0].incarnation));
 }
 
+// Regression (worlds, seed 202769): the task waited for the longest lease of the new incarnation.
+BOOST_AUTO_TEST_CASE(a_task_of_a_worker_that_restarts_out_of_reach_runs_again_at_once)
+{
+    cell_driver driver;
+    driver.scheduler.addJob("j", singleStepJob(1));
+    driver.scheduler.setWorker(workerRecord("w"), driver.now);
+    driver.scheduler.begin(driver.now, driver.now);
+    driver.runOnce();
+    driver.report("w", {});
+    driver.runOnce();
+    auto starts = driver.take<start_action>();
+    BOOST_REQUIRE(starts.size() == 1);
+    driver.scheduler.onStarted(starts[0], order_outcome::done, driver.now);
+    worker_report report;
+    report.running.push_back({ starts[0].task, starts[0].attempt, "", 10, 900 });
+    driver.report("w", report);
+    worker_record restarted = workerRecord("w");
+    restarted.startedUnixMs++;
+    driver.scheduler.setWorker(restarted, driver.now);
+    driver.scheduler.setWorker(workerRecord("other"), driver.now);
+    driver.runOnce();
+    driver.report("other", {});
+    driver.runOnce();
+    auto later = driver.take<start_action>();
+    BOOST_REQUIRE(later.size() == 1);
+    BOOST_TEST(later[0].worker == "other");
+}
+
+// A start that was answered may have reached the new incarnation, unless the earlier one has listed it.
+BOOST_AUTO_TEST_CASE(a_start_that_may_have_reached_a_new_incarnation_is_not_repeated)
+{
+    cell_driver driver;
+    driver.scheduler.addJob("j", singleStepJob(1));
+    driver.scheduler.setWorker(workerRecord("w"), driver.now);
+    driver.scheduler.begin(driver.now, driver.now);
+    driver.runOnce();
+    driver.report("w", {});
+    driver.runOnce();
+    auto starts = driver.take<start_action>();
+    BOOST_REQUIRE(starts.size() == 1);
+    driver.scheduler.onStarted(starts[0], order_outcome::done, driver.now);
+    worker_record restarted = workerRecord("w");
+    restarted.startedUnixMs++;
+    driver.scheduler.setWorker(restarted, driver.now);
+    driver.scheduler.setWorker(workerRecord("other"), driver.now);
+    driver.runOnce();
+    driver.report("other", {});
+    driver.runOnce();
+    BOOST_TEST(driver.take<start_action>().empty());
+}
+
 // An attempt without a record occupies capacity until it has ended. Regression (worlds, seed 63828): a worker
 // without a capacity check was overcommitted after the leader that had cancelled the attempt's job was
 // replaced.
