--- a/tests/jobs/world_lasting_tasks.cpp
+++ b/tests/jobs/world_lasting_tasks.cpp
@@ -32,7 +32,7 @@
 {
     const step_spec& step = *stepOf(task);
     return std::any_of(m_roomSince.begin(), m_roomSince.end(), [&](const auto& entry) {
-        const auto& [id, roomSince] = entry;
+        const worker_id& id = entry.first;
         const auto& labels = m_workers.at(id)->record.labels;
         bool labelled = step.requiredLabel.empty()
             || std::find(labels.begin(), labels.end(), step.requiredLabel) != labels.end();
@@ -41,7 +41,7 @@
             return other.worker == id && other.task.job == task.job
                 && (!other.endedAt || *other.endedAt > since);
         });
-        return roomSince <= since && labelled && (step.maxPerWorker == 0 || ofStep < step.maxPerWorker);
+        return entry.second <= since && labelled && (step.maxPerWorker == 0 || ofStep < step.maxPerWorker);
     });
 }
 
