--- a/src/jobs/process/cell_workers.cpp
+++ b/src/jobs/process/cell_workers.cpp
@@ -33,6 +33,7 @@
     // Share of the workers that must have answered recently for leases without a renewal. It exceeds half,
     // which the next leader waits for, by what the two leaders' lists of workers may differ.
     constexpr double quorumShare = 0.6;
+    constexpr ms longestGrantWindowMs = 6000; // Of cell_fault::count_longest_leases.
     constexpr ms stopRetryMs = 700; // An unanswered stop is sent again after this time.
     // Maximum rate of polls of all workers together, not counting polls that return early for a completion.
     constexpr ms maxPollsPerSecond = 500;
@@ -263,7 +264,10 @@
     ms quorumEnd = earlierLeases->longestEndAt;
     if (lastQuorumAt != 0)
         quorumEnd = std::min(quorumEnd, lastQuorumAt + earlierLeases->quorumMs);
-    return std::max(earlierLeases->endAt, quorumEnd);
+    ms end = std::max(earlierLeases->endAt, quorumEnd);
+    if (hasFault(cell_fault::count_longest_leases))
+        return beganAt + longestGrantWindowMs + worstLeaseMs(settings.maxLeaseMs);
+    return hasFault(cell_fault::count_short_leases) ? end - settings.maxLeaseMs / 2 : end;
 }
 
 // When a lease that an order to an earlier incarnation gave the worker has ended; 0: there is none.
@@ -297,7 +301,8 @@
 }
 
 // Attempts of the earlier incarnation have ended. But a start that was sent before the new incarnation was
-// known may have reached it, so the attempts are kept until the new incarnation reports.
+// known may have reached it, so attempts that the earlier one has not listed are kept until the new one
+// reports.
 void cell_model::handleNewIncarnation(worker_state& worker)
 {
     log(log_line("worker_new_life")
@@ -311,11 +316,27 @@
     worker.leaseUntilWorkerMs = worker.clockWorkerMs = 0;
     worker.reportedAt = 0;
     std::erase_if(writingCompletions, [&](const auto& entry) { return entry.first == &worker; });
+    std::vector<task_placement> ended;
     for (const task_placement& placement : worker.placements) {
         task_attempt* attempt = findAttempt(placement);
-        if (attempt && attempt->phase == attempt_phase::stopping)
+        if (attempt && attempt->listedByStartedUnixMs != 0)
+            ended.push_back(placement);
+        else if (attempt && attempt->phase == attempt_phase::stopping)
             attempt->stopAnsweredAt = attempt->stopSentAt = 0;
     }
+    endAttempts(worker, ended, "gang_member_lost");
+}
+
+// Ends attempts that certainly do not run any more, and queues their tasks again.
+void cell_model::endAttempts(
+    worker_state& worker, const std::vector<task_placement>& ended, std::string_view gangReason)
+{
+    for (const task_placement& placement : ended) {
+        removeAttempt(*placement.step, placement.index, worker, placement.attempt);
+        markDirty(*placement.step->job);
+        stopGang(*placement.step, gangReason);
+        requeue(*placement.step, placement.index);
+    }
 }
 
 void cell_model::dropLostWorker(worker_state& worker, std::string_view reason)
@@ -330,13 +351,7 @@
     worker.processedSequence = worker.acknowledgedSequence = 0;
     worker.leaseUntilWorkerMs = worker.clockWorkerMs = 0;
     std::erase_if(writingCompletions, [&](const auto& entry) { return entry.first == &worker; });
-    std::vector<task_placement> lost = worker.placements;
-    for (const task_placement& placement : lost) {
-        removeAttempt(*placement.step, placement.index, worker, placement.attempt);
-        markDirty(*placement.step->job);
-        stopGang(*placement.step, "gang_member_lost");
-        requeue(*placement.step, placement.index);
-    }
+    endAttempts(worker, std::vector(worker.placements), "gang_member_lost");
 }
 
 void cell_model::countFailedPoll(worker_state& worker)
@@ -427,14 +442,14 @@
     worker.unknownAttempts = 0;
     worker.listedAttempts = 0;
     for (const running_task& running : report.running)
-        handleListed(worker, running);
+        handleListed(worker, running, report.startedUnixMs);
     size_t listedCompletions = std::max(report.listedCompletions, report.completions.size());
     if (worker.listedAttempts < worker.placements.size() && listedCompletions < maxListedCompletions)
         handleUnlisted(worker, sentAt);
     pollWorker(worker);
 }
 
-void cell_model::handleListed(worker_state& worker, const running_task& listedTask)
+void cell_model::handleListed(worker_state& worker, const running_task& listedTask, int64_t startedUnixMs)
 {
     step_run* step = findStep(listedTask.task);
     task_attempt* attempt = step ? findAttempt({ step, listedTask.task.index, listedTask.attempt }) : nullptr;
@@ -458,6 +473,7 @@
     }
     worker.listedAttempts += attempt->listedInReport != worker.reportCount;
     attempt->listedInReport = worker.reportCount;
+    attempt->listedByStartedUnixMs = startedUnixMs;
     markStarted(*step->job);
     bool restored = attempt->phase == attempt_phase::restored;
     if (attempt->phase == attempt_phase::starting || restored) {
--- a/tests/jobs/jobs_test.cpp
+++ b/tests/jobs/jobs_test.cpp
@@ -246,6 +246,57 @@
     BOOST_TEST(fencingToken(6, 0) > fencingToken(5, laterPolls[0].incarnation));
 }
 
+// Regression (worlds, seed 202769): the task waited for the longest lease of the new incarnation.
+BOOST_AUTO_TEST_CASE(a_task_of_a_worker_that_restarts_out_of_reach_runs_again_at_once)
+{
+    cell_driver driver;
+    driver.scheduler.addJob("j", singleStepJob(1));
+    driver.scheduler.setWorker(workerRecord("w"), driver.now);
+    driver.scheduler.begin(driver.now, driver.now);
+    driver.runOnce();
+    driver.report("w", {});
+    driver.runOnce();
+    auto starts = driver.take<start_action>();
+    BOOST_REQUIRE(starts.size() == 1);
+    driver.scheduler.onStarted(starts[0], order_outcome::done, driver.now);
+    worker_report report;
+    report.running.push_back({ starts[0].task, starts[0].attempt, "", 10, 900 });
+    driver.report("w", report);
+    worker_record restarted = workerRecord("w");
+    restarted.startedUnixMs++;
+    driver.scheduler.setWorker(restarted, driver.now);
+    driver.scheduler.setWorker(workerRecord("other"), driver.now);
+    driver.runOnce();
+    driver.report("other", {});
+    driver.runOnce();
+    auto later = driver.take<start_action>();
+    BOOST_REQUIRE(later.size() == 1);
+    BOOST_TEST(later[0].worker == "other");
+}
+
+// A start that was answered may have reached the new incarnation, unless the earlier one has listed it.
+BOOST_AUTO_TEST_CASE(a_start_that_may_have_reached_a_new_incarnation_is_not_repeated)
+{
+    cell_driver driver;
+    driver.scheduler.addJob("j", singleStepJob(1));
+    driver.scheduler.setWorker(workerRecord("w"), driver.now);
+    driver.scheduler.begin(driver.now, driver.now);
+    driver.runOnce();
+    driver.report("w", {});
+    driver.runOnce();
+    auto starts = driver.take<start_action>();
+    BOOST_REQUIRE(starts.size() == 1);
+    driver.scheduler.onStarted(starts[0], order_outcome::done, driver.now);
+    worker_record restarted = workerRecord("w");
+    restarted.startedUnixMs++;
+    driver.scheduler.setWorker(restarted, driver.now);
+    driver.scheduler.setWorker(workerRecord("other"), driver.now);
+    driver.runOnce();
+    driver.report("other", {});
+    driver.runOnce();
+    BOOST_TEST(driver.take<start_action>().empty());
+}
+
 // An attempt without a record occupies capacity until it has ended. Regression (worlds, seed 63828): a worker
 // without a capacity check was overcommitted after the leader that had cancelled the attempt's job was
 // replaced.
@@ -838,15 +889,36 @@
 // Shows that the invariants can fail: each deliberate fault must violate one in at least one world.
 BOOST_AUTO_TEST_CASE(deliberate_faults_are_caught)
 {
-    for (auto fault :
-        { cell_fault::acknowledge_early, cell_fault::start_without_record, cell_fault::drop_silent_workers,
-            cell_fault::forget_restored, cell_fault::restart_unanswered_starts, cell_fault::ignore_order,
-            cell_fault::ignore_attempts, cell_fault::early_occurrences, cell_fault::reserve_nothing,
-            cell_fault::ignore_cancels, cell_fault::forget_by_clock, cell_fault::keep_repeated_records,
-            cell_fault::forget_unconfirmed, cell_fault::forget_unread }) {
+    for (auto fault : { cell_fault::acknowledge_early, cell_fault::start_without_record,
+             cell_fault::drop_silent_workers, cell_fault::forget_restored,
+             cell_fault::restart_unanswered_starts, cell_fault::ignore_order, cell_fault::ignore_attempts,
+             cell_fault::early_occurrences, cell_fault::reserve_nothing, cell_fault::ignore_cancels,
+             cell_fault::forget_by_clock, cell_fault::keep_repeated_records, cell_fault::forget_unconfirmed,
+             cell_fault::forget_unread, cell_fault::count_longest_leases, cell_fault::count_short_leases }) {
         bool caught = false;
         for (uint64_t seed = 1; seed <= 60 && !caught; seed++)
             caught = !runWorld(seed, fault).empty();
         BOOST_TEST(caught, "fault " << static_cast<int>(fault) << " is not caught");
     }
 }
+
+BOOST_AUTO_TEST_CASE(miscounted_leases_violate_the_invariants_they_should)
+{
+    struct expectation {
+        cell_fault fault;
+        std::string violation;
+    };
+    const expectation expectations[] = {
+        { cell_fault::count_longest_leases, "lasting task stays away" },
+        { cell_fault::count_short_leases, "two attempts run at the same time" },
+    };
+    for (const auto& expected : expectations) {
+        bool caught = false;
+        for (uint64_t seed = 1; seed <= 60 && !caught; seed++) {
+            auto violations = runWorld(seed, expected.fault);
+            caught = std::any_of(violations.begin(), violations.end(),
+                [&](const std::string& violation) { return violation.starts_with(expected.violation); });
+        }
+        BOOST_TEST(caught, expected.violation);
+    }
+}
