End a job whose attempts were used up before the policy of its queue was known

What callers can see: BUDGET, a task started once more than MaxAttempts permits.

Cause: the failure of an attempt is counted at once, but the job ends only if the policy of its queue is known at that moment. An instance can lead before it has read the configuration, and knows no queue of a route that was removed before its start. It counts the last permitted failure, acknowledges it, and leaves the task waiting; once the policy is known the task is placed again. A leader that restores such a record does the same, and so does one whose new configuration permits fewer attempts.

Change: the limit is checked in one place (attemptsExhausted), at a failure, when the policies change, and when the progress of a job is restored.

Found by reading. The test failed before (a start, and the state running); restart_test and retention_test pass.

--- a/src/jobs/process/cell.cpp
+++ b/src/jobs/process/cell.cpp
@@ -72,6 +72,8 @@
 {
     m_model->queues = std::move(queues);
     m_model->placingNeeded = true;
+    for (auto& [id, job] : m_model->jobs)
+        m_model->failIfAttemptsExhausted(*job);
 }
 
 void cell::setSettings(const cell_settings& settings) { m_model->settings = settings; }
@@ -284,6 +286,7 @@
         std::string bytes = std::move(job.unappliedProgress);
         job.unappliedProgress.clear();
         applyProgress(job, bytes);
+        failIfAttemptsExhausted(job);
     }
     if (begun)
         log(log_line("job_taken")
--- a/src/jobs/process/cell_attempts.cpp
+++ b/src/jobs/process/cell_attempts.cpp
@@ -55,7 +55,6 @@
         return;
     if (!completion.checkpoint.empty() && known)
         task.checkpoint = completion.checkpoint;
-    const queue_policy* policy = policyOf(job);
     if (completion.kind == completion_kind::done && !step->spec->isService
         && (known || task.attempts.empty())) {
         worker.consecutiveFailures = 0;
@@ -87,8 +86,7 @@
         }
         task_run& counted = step->spec->gang ? step->tasks.front() : task;
         counted.failures++;
-        if (!step->spec->isService && policy && counted.failures >= policy->maxAttempts
-            && !hasFault(cell_fault::ignore_attempts)) {
+        if (attemptsExhausted(*step, counted)) {
             finishJob(job, job_state::failed);
             return;
         }
@@ -97,6 +95,29 @@
     requeue(*step, completion.task.index);
 }
 
+bool cell_model::attemptsExhausted(const step_run& step, const task_run& task) const
+{
+    const queue_policy* policy = policyOf(*step.job);
+    return policy && !step.spec->isService && task.failures > 0 && task.failures >= policy->maxAttempts
+        && !hasFault(cell_fault::ignore_attempts);
+}
+
+// Ends a job whose last permitted failure was counted while the policy of its queue was not known, or
+// permitted more attempts.
+void cell_model::failIfAttemptsExhausted(job_run& job)
+{
+    if (job.isOver())
+        return;
+    bool exhausted = false;
+    for (const auto& [number, occurrence] : job.liveOccurrences) {
+        for (const step_run& step : occurrence->steps)
+            exhausted |= std::any_of(step.tasks.begin(), step.tasks.end(),
+                [&](const task_run& task) { return !task.done && attemptsExhausted(step, task); });
+    }
+    if (exhausted)
+        finishJob(job, job_state::failed);
+}
+
 resources cell_model::reservationOf(const step_spec& spec) const
 {
     if (hasFault(cell_fault::reserve_nothing))
--- a/src/jobs/process/cell_model.h
+++ b/src/jobs/process/cell_model.h
@@ -399,6 +399,8 @@
 
     // cell_attempts.cpp
     void handleCompletion(worker_state&, const task_completion&);
+    bool attemptsExhausted(const step_run&, const task_run&) const;
+    void failIfAttemptsExhausted(job_run&);
     resources reservationOf(const step_spec&) const;
     task_attempt& place(step_run&, int index, worker_state&, uint32_t attemptNumber);
     void removeAttempt(step_run&, int index, worker_state&, uint32_t attemptNumber);
--- a/tests/jobs/restart_test.cpp
+++ b/tests/jobs/restart_test.cpp
@@ -6,6 +6,7 @@
 #include <nlohmann/json.hpp>
 
 using namespace camphorwell;
+using camphorwell::testing::batchQueue;
 using camphorwell::testing::cell_driver;
 using camphorwell::testing::singleStepJob;
 using camphorwell::testing::workerRecord;
@@ -273,3 +274,34 @@
     driver.runOnce();
     BOOST_TEST((driver.scheduler.stateOf("j") == job_state::completed));
 }
+
+// A leader that had not read the configuration counted the last permitted failure and started the task again.
+BOOST_AUTO_TEST_CASE(a_task_that_used_up_its_attempts_before_the_configuration_was_read_is_not_started)
+{
+    cell_driver earlier;
+    begin(earlier, { { "j", singleStepJob(1) } });
+    const uint32_t maxAttempts = 3;
+    for (uint32_t attempt = 1; attempt < maxAttempts; attempt++) {
+        earlier.report(
+            "w", { 0, 0, {}, { { attempt, { "j", 0, 0, 0 }, attempt, completion_kind::failed, "" } }, 0 });
+        for (int i = 0; i < 10; i++)
+            earlier.runOnce();
+    }
+    BOOST_REQUIRE(earlier.take<start_action>().size() == maxAttempts);
+
+    cell_driver next;
+    next.scheduler.setQueues(std::make_shared<queue_table>());
+    next.scheduler.restoreProgress("j", earlier.progress.at("j"));
+    next.scheduler.addJob("j", singleStepJob(1));
+    next.scheduler.setWorker(workerRecord("w"), next.now);
+    next.scheduler.begin(next.now, next.now);
+    next.runOnce();
+    next.report("w",
+        { 0, 0, {}, { { maxAttempts, { "j", 0, 0, 0 }, maxAttempts, completion_kind::failed, "" } }, 0 });
+    next.runOnce();
+    next.scheduler.setQueues(batchQueue());
+    for (int i = 0; i < 10; i++)
+        next.runOnce();
+    BOOST_TEST(next.take<start_action>().empty());
+    BOOST_TEST((next.scheduler.stateOf("j") == job_state::failed));
+}
