Count a run of a gang as failed once, however many of its members failed

What callers can see: LOST, a gang shown as failed after fewer than MaxAttempts failed runs.

Cause: each failed end of a member that the leader knows added one to the failures of the gang. Members on several bad workers can fail in one run, before the others learn that it is broken.

Change: the number of the last failed attempt is kept beside the count, for a gang also in its progress record, so that the next leader does not count a second member of the same run. The field comes last, and earlier releases ignore it.

Found by reading. The test failed before, with the same leader and with a change of leader between the two ends (failed after two runs of three); gang_test and restart_test pass.

--- a/src/jobs/process/cell_attempts.cpp
+++ b/src/jobs/process/cell_attempts.cpp
@@ -85,7 +85,9 @@
             log(log_line("worker_shunned").add("worker", worker.info.id).add("for_ms", worker.quarantineMs));
         }
         task_run& counted = step->spec->gang ? step->tasks.front() : task;
-        counted.failures++;
+        // Several members of a gang may fail in one run.
+        counted.failures += counted.lastFailedAttempt != completion.attempt;
+        counted.lastFailedAttempt = completion.attempt;
         if (attemptsExhausted(*step, counted)) {
             finishJob(job, job_state::failed);
             return;
--- a/src/jobs/process/cell_model.h
+++ b/src/jobs/process/cell_model.h
@@ -56,7 +56,9 @@
 
 struct task_run {
     uint32_t lastAttempt = 0;
+    // Failed attempts, and the number of the last one. For a gang both are kept by its first member.
     uint16_t failures = 0;
+    uint32_t lastFailedAttempt = 0;
     bool done = false;
     bool waiting = false; // The task is listed in step_run::waiting.
     ms notBefore = 0;
--- a/src/jobs/process/cell_progress.cpp
+++ b/src/jobs/process/cell_progress.cpp
@@ -14,15 +14,19 @@
     using nlohmann::json;
     constexpr int progressFormat = 1;
 
-    void writeTask(record_writer& out, int index, const task_run& task)
+    void writeTask(record_writer& out, int index, const task_run& task, bool isGang)
     {
-        out.array(task.checkpoint.empty() ? 5 : 6);
+        bool writesFailure = isGang && task.failures > 0;
+        bool writesCheckpoint = writesFailure || !task.checkpoint.empty();
+        out.array(5U + writesCheckpoint + writesFailure);
         out.number(index).number(task.lastAttempt).number(task.failures).number(task.done ? 1 : 0);
         out.array(2 * task.attempts.size());
         for (const auto& attempt : task.attempts)
             out.number(attempt.number).text(attempt.worker->info.id);
-        if (!task.checkpoint.empty())
+        if (writesCheckpoint)
             out.text(task.checkpoint);
+        if (writesFailure)
+            out.number(task.lastFailedAttempt);
     }
 
     // A member of a gang may be done without an attempt that this leader knows of.
@@ -35,7 +39,7 @@
         for (int i = 0; i < static_cast<int>(step.tasks.size()); i++) {
             const task_run& task = step.tasks[static_cast<size_t>(i)];
             if (hasProgress(task))
-                writeTask(out, i, task);
+                writeTask(out, i, task, step.spec->gang);
         }
     }
 
@@ -62,7 +66,9 @@
 } // namespace
 
 // Format: [format, state, next occurrence, [[occurrence, [[step, [task, ...]]]]], started], where a task is
-// [index, last attempt, failures, done, [attempt, worker, attempt, worker, ...], checkpoint unless empty].
+// [index, last attempt, failures, done, [attempt, worker, attempt, worker, ...], checkpoint, last failed
+// attempt]. The last one is written for the first member of a gang that has failed; without it, an empty
+// checkpoint is left out.
 // The record of a finished job is [format, state].
 std::string cell_model::encodeProgress(const job_run& job) const
 {
@@ -139,6 +145,8 @@
                     step.remainingTasks -= task.done;
                     if (taskEntry.size() > 5)
                         task.checkpoint = taskEntry.at(5);
+                    if (taskEntry.size() > 6)
+                        task.lastFailedAttempt = taskEntry.at(6);
                     const json& attemptList = taskEntry.at(4);
                     for (size_t i = 0; i + 1 < attemptList.size() && !hasFault(cell_fault::forget_restored);
                          i += 2) {
--- a/tests/jobs/gang_test.cpp
+++ b/tests/jobs/gang_test.cpp
@@ -157,3 +157,31 @@
     BOOST_TEST(restarts[0].attempt == 2);
     BOOST_TEST(restarts[1].attempt == 2);
 }
+
+// Two members that failed in one run counted as two failures of the gang, also under the next leader.
+BOOST_AUTO_TEST_CASE(a_run_of_a_gang_fails_once)
+{
+    for (bool leaderChanges : { false, true }) {
+        idle_fleet first(2);
+        idle_fleet second(2);
+        first.scheduler.addJob("gang", gangJob(2, 8000));
+        auto starts = first.startsAfter(10);
+        BOOST_REQUIRE(starts.size() == 2);
+        auto fail = [&](idle_fleet& fleet, size_t member, uint64_t sequence, uint32_t attempt) {
+            fleet.report(starts[member].worker,
+                { 0, 0, {}, { { sequence, starts[member].task, attempt, completion_kind::failed, "" } }, 0 });
+            fleet.runOnce();
+        };
+        fail(first, 0, 1, 1);
+        if (leaderChanges) {
+            second.scheduler.restoreProgress("gang", first.progress.at("gang"));
+            second.scheduler.addJob("gang", gangJob(2, 8000));
+        }
+        idle_fleet& fleet = leaderChanges ? second : first;
+        fail(fleet, 1, 1, 1);
+        starts = fleet.startsAfter(10);
+        BOOST_REQUIRE(starts.size() == 2);
+        fail(fleet, 0, 2, 2);
+        BOOST_TEST((fleet.scheduler.stateOf("gang") == job_state::running));
+    }
+}
