Open the due occurrences of a periodic job in parts

What callers can see: a job with a large RepeatCount, a StartAtMs long past and a small interval makes the leader open all occurrences at once, which exhausts its time and memory, and those of each next leader.

Change: the unfinished occurrences of one job have at most 10,000 tasks together, but at least one occurrence is open. Later ones are opened as earlier ones end. Finished occurrences are still kept in memory until their job ends.

--- a/src/jobs/process/cell.cpp
+++ b/src/jobs/process/cell.cpp
@@ -18,6 +18,8 @@
     constexpr ms serviceRestartDeadlineMs = 6'000;
     constexpr ms maxReadIntervalMs = 5'000; // Between two reads of the job log; longer is an outage.
     constexpr ms clockSlackMs = 20; // Clocks of instances differ by a few milliseconds.
+    // Maximum number of tasks in the unfinished occurrences of one job; later occurrences wait.
+    constexpr int64_t maxOccurrenceTasks = 10'000;
 
     // The critical path of the job: the largest sum of estimates along a chain of dependent steps.
     ms criticalPathMs(const job_spec& spec)
@@ -344,17 +346,33 @@
     return *slot;
 }
 
+// How many more occurrences of the job may be opened beside the unfinished ones.
+int64_t cell_model::occurrenceCapacity(const job_run& job)
+{
+    int64_t tasks = 0;
+    for (const step_spec& step : job.record.spec.steps)
+        tasks += step.count;
+    auto unfinished = std::count_if(job.liveOccurrences.begin(), job.liveOccurrences.end(),
+        [](const auto& entry) { return entry.second->remainingSteps > 0; });
+    return std::max<int64_t>(1, maxOccurrenceTasks / std::max<int64_t>(1, tasks)) - unfinished;
+}
+
 void cell_model::openDueOccurrences(job_run& job)
 {
     const job_spec& spec = job.record.spec;
-    while (!job.isOver() && job.nextOccurrence < spec.repeatCount) {
+    auto isDue = [&] {
         int64_t due = spec.startAtUnixMs + job.nextOccurrence * spec.intervalMs;
-        if (now + unixOffset < due + clockSlackMs - (hasFault(cell_fault::early_occurrences) ? 1000 : 0))
-            return;
-        markDirty(job);
-        openReadySteps(openOccurrence(job, job.nextOccurrence));
+        return job.nextOccurrence < spec.repeatCount
+            && now + unixOffset >= due + clockSlackMs - (hasFault(cell_fault::early_occurrences) ? 1000 : 0);
+    };
+    if (!job.isOver() && isDue()) {
+        for (int64_t left = occurrenceCapacity(job); left > 0 && isDue(); left--) {
+            markDirty(job);
+            openReadySteps(openOccurrence(job, job.nextOccurrence));
+        }
     }
-    periodicJobs.erase(&job);
+    if (job.isOver() || job.nextOccurrence >= spec.repeatCount)
+        periodicJobs.erase(&job);
 }
 
 void cell_model::openReadySteps(occurrence_run& occurrence)
--- a/src/jobs/process/cell_model.h
+++ b/src/jobs/process/cell_model.h
@@ -347,6 +347,7 @@
     void addJob(const job_id&, const job_record&);
     void cancel(const job_id&);
     occurrence_run& openOccurrence(job_run&, int64_t number);
+    static int64_t occurrenceCapacity(const job_run&);
     void openDueOccurrences(job_run&);
     void openReadySteps(occurrence_run&);
     void requeue(step_run&, int index);
--- a/tests/jobs/order_test.cpp
+++ b/tests/jobs/order_test.cpp
@@ -225,3 +225,35 @@
     BOOST_TEST(reserve.reservedCpu() == 2'500);
     BOOST_TEST(reserve.usableCpu(250) == 200);
 }
+
+// A job due many times since 1970 opened all its occurrences at once.
+BOOST_AUTO_TEST_CASE(occurrences_that_are_due_at_once_are_opened_in_parts)
+{
+    constexpr int64_t maxTasks = 10'000;
+    cell_driver driver;
+    job_record record = singleStepJob(1);
+    record.spec.repeatCount = 100'000;
+    record.spec.intervalMs = 1;
+    driver.now = record.spec.repeatCount + 1'000;
+    driver.scheduler.setClock(driver.now, driver.now);
+    driver.scheduler.addJob("j", record);
+    driver.scheduler.setWorker(workerRecord("w"), driver.now);
+    driver.scheduler.begin(driver.now, driver.now);
+    driver.runOnce();
+    driver.report("w", {});
+    driver.runOnce();
+    auto tasks = [&] {
+        auto statistics = driver.scheduler.collectStatistics();
+        return statistics.waitingTasks + statistics.runningTasks;
+    };
+    BOOST_TEST(tasks() == maxTasks);
+    worker_report report;
+    for (const auto& start : driver.take<start_action>())
+        report.completions.push_back(
+            { report.completions.size() + 1, start.task, start.attempt, completion_kind::done, "" });
+    BOOST_TEST(!report.completions.empty());
+    driver.report("w", report);
+    BOOST_TEST(tasks() < maxTasks);
+    driver.runOnce();
+    BOOST_TEST(tasks() == maxTasks);
+}
