--- a/src/jobs/process/cell_model.h
+++ b/src/jobs/process/cell_model.h
@@ -59,7 +59,9 @@
 
 struct task_run {
     uint32_t lastAttempt = 0;
+    // Failed attempts, and the number of the last one. For a gang both are kept by its first member.
     uint16_t failures = 0;
+    uint32_t lastFailedAttempt = 0;
     bool done = false;
     bool waiting = false; // The task is listed in step_run::waiting.
     ms notBefore = 0;
@@ -354,6 +356,7 @@
     void addJob(const job_id&, const job_record&);
     void cancel(const job_id&);
     occurrence_run& openOccurrence(job_run&, int64_t number);
+    static int64_t occurrenceCapacity(const job_run&);
     void openDueOccurrences(job_run&);
     void openReadySteps(occurrence_run&);
     void requeue(step_run&, int index);
@@ -417,6 +420,8 @@
 
     // cell_attempts.cpp
     void handleCompletion(worker_state&, const task_completion&);
+    bool attemptsExhausted(const step_run&, const task_run&) const;
+    void failIfAttemptsExhausted(job_run&);
     resources reservationOf(const step_spec&) const;
     task_attempt& place(step_run&, int index, worker_state&, uint32_t attemptNumber);
     void removeAttempt(step_run&, int index, worker_state&, uint32_t attemptNumber);
--- a/src/jobs/process/cell_progress.cpp
+++ b/src/jobs/process/cell_progress.cpp
@@ -14,19 +14,23 @@
     using nlohmann::json;
     constexpr int progressFormat = 1;
 
-    void writeTask(record_writer& out, int index, const task_run& task)
+    void writeTask(record_writer& out, int index, const task_run& task, bool isGang)
     {
         bool longLease = std::any_of(task.attempts.begin(), task.attempts.end(),
             [](const task_attempt& attempt) { return attempt.longLease; });
-        out.array(longLease ? 7 : task.checkpoint.empty() ? 5 : 6);
+        bool gangFailed = isGang && task.failures > 0;
+        size_t fields = longLease ? 8 : gangFailed ? 7 : task.checkpoint.empty() ? 5 : 6;
+        out.array(fields);
         out.number(index).number(task.lastAttempt).number(task.failures).number(task.done ? 1 : 0);
         out.array(2 * task.attempts.size());
         for (const auto& attempt : task.attempts)
             out.number(attempt.number).text(attempt.worker->info.id);
-        if (longLease || !task.checkpoint.empty())
+        if (fields > 5)
             out.text(task.checkpoint);
-        if (longLease)
-            out.flag(true);
+        if (fields > 6)
+            out.number(task.lastFailedAttempt);
+        if (fields > 7)
+            out.flag(longLease);
     }
 
     // A member of a gang may be done without an attempt that this leader knows of.
@@ -39,7 +43,7 @@
         for (int i = 0; i < static_cast<int>(step.tasks.size()); i++) {
             const task_run& task = step.tasks[static_cast<size_t>(i)];
             if (hasProgress(task))
-                writeTask(out, i, task);
+                writeTask(out, i, task, step.spec->gang);
         }
     }
 
@@ -66,8 +70,9 @@
 } // namespace
 
 // Format: [format, state, next occurrence, [[occurrence, [[step, [task, ...]]]]], started], where a task is
-// [index, last attempt, failures, done, [attempt, worker, attempt, worker, ...], checkpoint, long lease]; the
-// last two are left out if they are empty and false.
+// [index, last attempt, failures, done, [attempt, worker, attempt, worker, ...], checkpoint, last failed
+// attempt, long lease]. Fields at the end are left out: the last one if it is false, the one before it unless
+// the first member of a gang has failed, and then an empty checkpoint.
 // The record of a finished job is [format, state].
 std::string cell_model::encodeProgress(const job_run& job) const
 {
@@ -144,7 +149,9 @@
                     step.remainingTasks -= task.done;
                     if (taskEntry.size() > 5)
                         task.checkpoint = taskEntry.at(5);
-                    bool longLease = taskEntry.size() > 6 && taskEntry.at(6).get<bool>();
+                    if (taskEntry.size() > 6)
+                        task.lastFailedAttempt = taskEntry.at(6);
+                    bool longLease = taskEntry.size() > 7 && taskEntry.at(7).get<bool>();
                     const json& attemptList = taskEntry.at(4);
                     for (size_t i = 0; i + 1 < attemptList.size() && !hasFault(cell_fault::forget_restored);
                          i += 2) {
