--- a/standins/fleet_models.cpp
+++ b/standins/fleet_models.cpp
@@ -5,10 +5,6 @@
 
 namespace camphorwell::fleet {
 
-namespace {
-    constexpr ms maxLeaseMs = 6000; // Longer leases are cut to this length.
-}
-
 model_worker::model_worker(worker_record workerRecord, bool enforcesCapacity, double clockRate,
     std::vector<observed_attempt>& history)
     : record(std::move(workerRecord))
--- a/standins/fleet_models.h
+++ b/standins/fleet_models.h
@@ -49,6 +49,9 @@
     // Resources that the running tasks reserve. Best-effort tasks reserve no processors.
     resources used() const;
     bool idle() const { return m_running.empty(); }
+    ms clock(ms now) const; // The worker's own clock.
+    ms maxLeaseMs = 6000; // Longer leases are cut to this length.
+    bool hasCompletions() const { return !m_completions.empty(); }
 
 private:
     struct running {
@@ -57,7 +60,6 @@
         ms endsAt = 0;
         bool fails = false;
     };
-    ms clock(ms now) const; // The worker's own clock.
     void complete(size_t index, completion_kind kind, ms now);
     bool m_enforcesCapacity;
     double m_clockRate;
