--- a/tests/process/fleet_deployment.cpp
+++ b/tests/process/fleet_deployment.cpp
@@ -13,7 +13,9 @@
     constexpr int64_t startTimeoutMs = 20'000;
     constexpr int64_t stateTimeoutMs = 20'000;
     constexpr int64_t metricsTimeoutMs = 300;
-    constexpr uint16_t callerPorts = 40; // After the first port; so are the next two.
+    constexpr int64_t historyTimeoutMs = 8000;
+    constexpr int smallFleet = 30; // Workers; the ports of a larger fleet are followed by 100 further ports.
+    constexpr uint16_t callerPorts = 40; // Offsets of the instances' ports.
     constexpr uint16_t readinessPorts = 60;
     constexpr uint16_t internalPorts = 80;
     const std::string address = "127.0.0.1";
@@ -23,20 +25,37 @@
 fleet_deployment::fleet_deployment(fleet_options options)
     : m_options(std::move(options))
 {
+    std::string zones;
+    for (const std::string& zone : m_options.zones)
+        zones += (zones.empty() ? "" : ",") + zone;
     add(standinName,
         { programPath("camphorwell-standin-fleet"), "--port", std::to_string(m_options.firstPort),
-            "--workers", std::to_string(m_options.workers), "--host", m_options.host });
+            "--workers", std::to_string(m_options.workers), "--host", m_options.host, "--zones", zones,
+            "--max-lease-ms", std::to_string(m_options.maxLeaseMs), "--heartbeat-ms",
+            std::to_string(m_options.heartbeatMs) });
     for (int i = 1; i <= m_options.instances; i++) {
-        std::string name = "north-" + std::to_string(i);
+        std::string name
+            = m_options.zones[static_cast<size_t>(i - 1) % m_options.zones.size()] + "-" + std::to_string(i);
         m_numbers[name] = i;
-        writeSettings(i);
+        writeSettings(name);
         add(name, { programPath("camphorwell-scheduler"), "--settings", directory() + "/" + name + ".json" });
     }
 }
 
 uint16_t fleet_deployment::portOf(const std::string& instance, uint16_t base) const
 {
-    return static_cast<uint16_t>(m_options.firstPort + base + m_numbers.at(instance));
+    int offset = m_options.workers > smallFleet ? 100 : 0;
+    return static_cast<uint16_t>(m_options.firstPort + offset + base + m_numbers.at(instance));
+}
+
+size_t fleet_deployment::zoneIndex(const std::string& instance) const
+{
+    return static_cast<size_t>(m_numbers.at(instance) - 1) % m_options.zones.size();
+}
+
+const std::string& fleet_deployment::zoneOf(const std::string& instance) const
+{
+    return m_options.zones[zoneIndex(instance)];
 }
 
 uint16_t fleet_deployment::callerPort(const std::string& instance) const
@@ -44,16 +63,18 @@
     return portOf(instance, callerPorts);
 }
 
-void fleet_deployment::writeSettings(int number)
+void fleet_deployment::writeSettings(const std::string& name)
 {
-    std::string name = "north-" + std::to_string(number);
+    // The store has a port for each zone after those of the workers.
+    size_t storePort = m_options.firstPort + static_cast<size_t>(m_options.workers) + 1 + zoneIndex(name);
     auto listenAt = [&](uint16_t base) { return address + ":" + std::to_string(portOf(name, base)); };
-    json settings { { "instance", name }, { "dataCentre", "north" }, { "address", address },
+    json settings { { "instance", name }, { "dataCentre", zoneOf(name) }, { "address", address },
         { "callers", listenAt(callerPorts) }, { "readiness", listenAt(readinessPorts) },
         { "internalPort", portOf(name, internalPorts) }, { "keepSeconds", m_options.keepSeconds },
         { "store",
-            { { "address", address + ":" + std::to_string(m_options.firstPort) },
-                { "partitions", m_options.partitions } } } };
+            { { "address", address + ":" + std::to_string(storePort) },
+                { "partitions", m_options.partitions } } },
+        { "workers", { { "maxLeaseMs", m_options.maxLeaseMs } } } };
     std::ofstream(directory() + "/" + name + ".json") << settings.dump(2);
 }
 
@@ -144,7 +165,8 @@
 std::vector<fleet_attempt> fleet_deployment::history()
 {
     std::vector<fleet_attempt> out;
-    json rows = getJson(m_options.firstPort, "/history");
+    json rows = json::parse(
+        call(m_options.firstPort, "GET", "/history", {}, {}, historyTimeoutMs).body(), nullptr, false);
     if (!rows.is_array())
         return out;
     for (const auto& row : rows) {
--- a/tests/process/fleet_deployment.h
+++ b/tests/process/fleet_deployment.h
@@ -7,12 +7,16 @@
 namespace camphorwell {
 
 struct fleet_options {
-    uint16_t firstPort = 23000; // The deployment uses 100 ports.
+    uint16_t firstPort = 23000; // The deployment uses 100 ports, or 200 with more than 30 workers.
     int instances = 3;
     int workers = 6;
     int partitions = 4;
     int keepSeconds = 1; // Retention of finished jobs.
     std::string host = "camphorwell"; // Host header of callers.
+    // Zones of the workers, in equal blocks, and of the instances, in turn.
+    std::vector<std::string> zones { "north" };
+    int64_t maxLeaseMs = 6000; // The longest lease that a worker accepts.
+    int64_t heartbeatMs = 500;
 };
 
 // One attempt as a worker saw it. Times are those of `event_loop::now`, in milliseconds.
@@ -35,6 +39,7 @@
     bool start();
     std::vector<std::string> instances() const;
     uint16_t callerPort(const std::string& instance) const;
+    const std::string& zoneOf(const std::string& instance) const;
     bool ready(const std::string& instance);
     // The instance that leads the cell; empty if none says so.
     std::string leader();
@@ -50,13 +55,15 @@
     // The job's state, or the status of another answer than 200.
     std::string stateOf(const std::string& instance, const std::string& path);
     bool waitForState(const std::string& instance, const std::string& path, const std::string& state);
-    // See store_standin.h.
+    // See store_standin.h and fleet_main.cpp.
     void setStore(const nlohmann::json& admin);
+    // Empty if the stand-in does not answer.
     std::vector<fleet_attempt> history();
 
 private:
     static constexpr const char* standinName = "platform";
-    void writeSettings(int number);
+    void writeSettings(const std::string& instance);
+    size_t zoneIndex(const std::string& instance) const;
     uint16_t portOf(const std::string& instance, uint16_t base) const;
     fleet_options m_options;
     std::map<std::string, int> m_numbers; // By instance, from 1.
