--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -268,7 +268,7 @@
         job.kind = job_kind::service;
         job.fails = fails;
         job.tasks = static_cast<int>(between(3, 9));
-        json step { { "Count", job.tasks }, { "Cpu", 200 }, { "MemMb", 100 }, { "LongRunning", true } };
+        json step { { "Count", job.tasks }, { "Cpu", 500 }, { "MemMb", 100 }, { "LongRunning", true } };
         std::string payload
             = fails ? "work_ms=" + std::to_string(between(3000, 12'000)) + " fail" : "work_ms=600000";
         submitJob(id, job, payload, json::array({ step }));
@@ -447,14 +447,28 @@
         loseWorkers("power_off", count, std::nullopt);
     }
 
-    void loseWorkers(const std::string& fault, int64_t count, std::optional<int64_t> forMs)
+    // Half of them are workers that run tasks, as far as there are so many.
+    std::vector<std::string> pickWorkers(int64_t count)
     {
+        std::set<std::string> busy;
+        for (const fleet_attempt& attempt : m_deployment.history()) {
+            if (!attempt.endedAt)
+                busy.insert(attempt.worker);
+        }
         std::vector<std::string> names;
         for (int i = 0; i < m_plan.workers; i++)
             names.push_back("worker-" + std::to_string(i));
         std::shuffle(names.begin(), names.end(), m_random);
-        names.resize(static_cast<size_t>(count));
-        json order { { "worker_fault", fault }, { "workers", names } };
+        auto idle = std::stable_partition(
+            names.begin(), names.end(), [&](const std::string& name) { return busy.contains(name); });
+        names.erase(std::min(idle, names.begin() + (count + 1) / 2), idle);
+        names.resize(std::min(names.size(), static_cast<size_t>(count)));
+        return names;
+    }
+
+    void loseWorkers(const std::string& fault, int64_t count, std::optional<int64_t> forMs)
+    {
+        json order { { "worker_fault", fault }, { "workers", pickWorkers(count) } };
         if (forMs)
             order["for_ms"] = *forMs;
         setPlatform(order, forMs.value_or(0));
