--- a/standins/fleet_models.cpp
+++ b/standins/fleet_models.cpp
@@ -2,6 +2,7 @@
 #include "standins/fleet_models.h"
 
 #include <algorithm>
+#include <nlohmann/json.hpp>
 
 namespace camphorwell::fleet {
 
@@ -155,4 +156,18 @@
     record.startedUnixMs = now + 1;
 }
 
+nlohmann::json historyRows(const std::vector<observed_attempt>& history)
+{
+    using nlohmann::json;
+    json rows = json::array();
+    for (const auto& observed : history) {
+        std::string completion = observed.endedAt ? std::string(toString(observed.completion)) : "runs";
+        json endedAt = observed.endedAt ? json(*observed.endedAt) : json();
+        rows.push_back({ observed.task.str(), observed.attempt, observed.worker, completion,
+            observed.startedAt, endedAt, observed.completionAcknowledged, observed.lapsedBeforeAck });
+    }
+    return rows;
+}
+
+
 } // namespace camphorwell::fleet
--- a/standins/fleet_models.h
+++ b/standins/fleet_models.h
@@ -4,6 +4,7 @@
 
 #include "jobs/jobs.h"
 
+#include <nlohmann/json_fwd.hpp>
 #include <random>
 
 namespace camphorwell::fleet {
@@ -20,6 +21,10 @@
     bool lapsedBeforeAck = false; // The worker's lease ran out before the acknowledgement.
 };
 
+// A row for each attempt: task, number, worker, completion ("runs" if it has not ended), start, end (null if it
+// runs), whether the end was acknowledged, and whether the lease ran out before.
+nlohmann::json historyRows(const std::vector<observed_attempt>&);
+
 // Times are in milliseconds of virtual time. Leases are on the worker's own clock, which starts at 0 with the
 // worker.
 class model_worker {
--- /dev/null
+++ b/standins/fleet_options.cpp
@@ -0,0 +1,49 @@
+// See fleet_options.h.
+#include "standins/fleet_options.h"
+
+#include <getopt.h>
+#include <sstream>
+
+namespace camphorwell::fleet {
+
+namespace {
+
+    std::vector<std::string> splitNames(const std::string& text)
+    {
+        std::vector<std::string> out;
+        std::stringstream in(text);
+        for (std::string name; std::getline(in, name, ',');)
+            out.push_back(name);
+        return out;
+    }
+
+} // namespace
+
+standin_options parseOptions(int argc, char** argv)
+{
+    const option known[] = { { "port", required_argument, nullptr, 'p' },
+        { "workers", required_argument, nullptr, 'w' }, { "host", required_argument, nullptr, 'h' },
+        { "zones", required_argument, nullptr, 'z' }, { "max-lease-ms", required_argument, nullptr, 'l' },
+        { "heartbeat-ms", required_argument, nullptr, 'b' }, { nullptr, 0, nullptr, 0 } };
+    standin_options out;
+    int code = 0;
+    while ((code = getopt_long(argc, argv, "", known, nullptr)) != -1) {
+        if (code == 'p')
+            out.port = std::stoi(optarg);
+        else if (code == 'w')
+            out.workers = std::stoi(optarg);
+        else if (code == 'h')
+            out.host = optarg;
+        else if (code == 'z')
+            out.zones = splitNames(optarg);
+        else if (code == 'l')
+            out.maxLeaseMs = std::stoll(optarg);
+        else if (code == 'b')
+            out.heartbeatMs = std::stoll(optarg);
+        else
+            return {};
+    }
+    return out;
+}
+
+} // namespace camphorwell::fleet
--- /dev/null
+++ b/standins/fleet_options.h
@@ -0,0 +1,19 @@
+// Command line of camphorwell-standin-fleet.
+#pragma once
+
+#include "jobs/jobs.h"
+
+namespace camphorwell::fleet {
+
+struct standin_options {
+    int port = 0; // 0: the arguments are wrong.
+    int workers = 4;
+    std::string host = "localhost";
+    std::vector<std::string> zones { "north" }; // The workers are dealt to them in equal blocks.
+    ms maxLeaseMs = 6000;
+    ms heartbeatMs = 500;
+};
+
+standin_options parseOptions(int argc, char** argv);
+
+} // namespace camphorwell::fleet
