An order that waited long for a connection to its worker is not sent any more

Cause: four connections to a worker carry all orders, and each unanswered order holds one for 1.2 s. The leases ended, run 2 was placed elsewhere at 700.31 s, and when worker-45 had come back under its id the queue sent run 1 at 701.74 s (unknown_run at 701.85 s). The order's deadline was on the clock of the earlier incarnation and far ahead of the new one's, so the worker did not call it late.

A call that has waited longer gets no response, which the leader treats as a start that may have been carried out.

--- a/src/net/connection/http_client.cpp
+++ b/src/net/connection/http_client.cpp
@@ -45,6 +45,7 @@
         std::string body;
         int64_t timeoutMs = 0;
         handler callback;
+        instant waitingSince {};
     };
     struct connection {
         evhttp_connection* handle = nullptr;
@@ -56,11 +57,12 @@
         handler callback;
     };
 
-    state(event_loop& eventLoop, std::string host, uint16_t portNumber, size_t limit)
+    state(event_loop& eventLoop, std::string host, uint16_t portNumber, size_t limit, int64_t waitLimitMs)
         : loop(eventLoop)
         , address(std::move(host))
         , port(portNumber)
         , maxConnections(limit)
+        , maxWaitMs(waitLimitMs)
     {
     }
 
@@ -210,8 +212,26 @@
         loop.after(0, [closed] { evhttp_connection_free(closed->handle); });
     }
 
+    bool isOverdue(const pending_call& pending) const
+    {
+        return std::chrono::duration_cast<milliseconds>(event_loop::now() - pending.waitingSince).count()
+            > maxWaitMs;
+    }
+
+    void dropOverdueCalls()
+    {
+        std::vector<pending_call> overdue;
+        while (!waiting.empty() && isOverdue(waiting.front())) {
+            overdue.push_back(std::move(waiting.front()));
+            waiting.pop_front();
+        }
+        for (pending_call& pending : overdue)
+            pending.callback({});
+    }
+
     void startWaitingCalls()
     {
+        dropOverdueCalls();
         while (!waiting.empty()) {
             connection* conn = idleConnection();
             if (!conn)
@@ -226,13 +246,15 @@
     std::string address;
     uint16_t port;
     size_t maxConnections;
+    int64_t maxWaitMs;
     std::vector<std::unique_ptr<connection>> connections;
     std::deque<pending_call> waiting;
     uint64_t callCount = 0; // Calls started so far.
 };
 
-http_client::http_client(event_loop& loop, std::string address, uint16_t port, size_t maxConnections)
-    : m_state(std::make_shared<state>(loop, std::move(address), port, maxConnections))
+http_client::http_client(
+    event_loop& loop, std::string address, uint16_t port, size_t maxConnections, int64_t maxWaitMs)
+    : m_state(std::make_shared<state>(loop, std::move(address), port, maxConnections, maxWaitMs))
 {
 }
 
@@ -251,6 +273,7 @@
         pending.callback({});
         return;
     }
+    pending.waitingSince = event_loop::now();
     m_state->waiting.push_back(std::move(pending));
 }
 
--- a/src/net/net.h
+++ b/src/net/net.h
@@ -117,14 +117,16 @@
 class http_client {
 public:
     using handler = std::function<void(const http_response&)>;
-    http_client(event_loop&, std::string address, uint16_t port, size_t maxConnections);
+    http_client(event_loop&, std::string address, uint16_t port, size_t maxConnections,
+        int64_t maxWaitMs = INT64_MAX);
     ~http_client();
     http_client(const http_client&) = delete;
     http_client& operator=(const http_client&) = delete;
 
     // Calls `handler` with the response, possibly before `call` returns, and not at all if the client is
     // destroyed first. `timeoutMs` does not include the wait for a free connection. A call with a header that
-    // cannot be sent, such as one with a line break, gets no response.
+    // cannot be sent, such as one with a line break, gets no response, nor does one that has waited for
+    // longer than the maximum of the client; it is not sent.
     void call(const std::string& method, const std::string& path, const header_list&, std::string body,
         int64_t timeoutMs, handler);
 
