--- a/standins/fleet_models.h
+++ b/standins/fleet_models.h
@@ -4,6 +4,7 @@
 
 #include "jobs/jobs.h"
 
+#include <nlohmann/json_fwd.hpp>
 #include <random>
 
 namespace camphorwell::fleet {
@@ -20,6 +21,10 @@
     bool lapsedBeforeAck = false; // The worker's lease ran out before the acknowledgement.
 };
 
+// A row for each attempt: task, number, worker, completion ("runs" if it has not ended), start, end (null if it
+// runs), whether the end was acknowledged, and whether the lease ran out before.
+nlohmann::json historyRows(const std::vector<observed_attempt>&);
+
 // Times are in milliseconds of virtual time. Leases are on the worker's own clock, which starts at 0 with the
 // worker.
 class model_worker {
@@ -50,6 +55,9 @@
     // Resources that the running tasks reserve. Best-effort tasks reserve no processors.
     resources used() const;
     bool idle() const { return m_running.empty(); }
+    ms clock(ms now) const; // The worker's own clock.
+    ms maxLeaseMs = 6000; // Longer leases are cut to this length.
+    bool hasCompletions() const { return !m_completions.empty(); }
 
 private:
     struct running {
@@ -58,7 +66,6 @@
         ms endsAt = 0;
         bool fails = false;
     };
-    ms clock(ms now) const; // The worker's own clock.
     void complete(size_t index, completion_kind kind, ms now);
     bool m_enforcesCapacity;
     double m_clockRate;
