--- a/standins/fleet_models.cpp
+++ b/standins/fleet_models.cpp
@@ -169,5 +169,4 @@
     return rows;
 }
 
-
 } // namespace camphorwell::fleet
--- a/standins/fleet_models.h
+++ b/standins/fleet_models.h
@@ -21,8 +21,8 @@
     bool lapsedBeforeAck = false; // The worker's lease ran out before the acknowledgement.
 };
 
-// A row for each attempt: task, number, worker, completion ("runs" if it has not ended), start, end (null if it
-// runs), whether the end was acknowledged, and whether the lease ran out before.
+// A row for each attempt: task, number, worker, completion ("runs" if it has not ended), start, end (null if
+// it runs), whether the end was acknowledged, and whether the lease ran out before.
 nlohmann::json historyRows(const std::vector<observed_attempt>&);
 
 // Times are in milliseconds of virtual time. Leases are on the worker's own clock, which starts at 0 with the
