--- a/tests/platform/worker_calls_test.cpp
+++ b/tests/platform/worker_calls_test.cpp
@@ -66,3 +66,13 @@
     for (order_outcome outcome : outcomes)
         BOOST_TEST((outcome == order_outcome::no_answer));
 }
+
+// A delayed poll would acknowledge completions of the worker's next life.
+BOOST_FIXTURE_TEST_CASE(poll_does_not_wait_for_unanswered_starts, silent_worker)
+{
+    for (int i = 0; i < 10; i++)
+        start(i);
+    workers.poll(address, { "w", 7, std::nullopt, 0, 0 }, 1, [](order_outcome, const worker_report&) {});
+    runFor(pollArrivalMs);
+    BOOST_TEST(received("/hold") == 1);
+}
