--- a/standins/fleet_models.h
+++ b/standins/fleet_models.h
@@ -56,7 +56,6 @@
     resources used() const;
     bool idle() const { return m_running.empty(); }
     ms clock(ms now) const; // The worker's own clock.
-    ms maxLeaseMs = 6000; // Longer leases are cut to this length.
     bool hasCompletions() const { return !m_completions.empty(); }
 
 private:
