--- a/standins/fleet_options.cpp
+++ b/standins/fleet_options.cpp
@@ -2,6 +2,7 @@
 #include "standins/fleet_options.h"
 
 #include <getopt.h>
+#include <nlohmann/json.hpp>
 #include <sstream>
 
 namespace camphorwell::fleet {
@@ -46,4 +47,19 @@
     return out;
 }
 
+nlohmann::json configurationFor(const std::string& host)
+{
+    using nlohmann::json;
+    json routes = json::array();
+    int priority = 0;
+    for (const char* name : { "quick", "batch" }) {
+        routes.push_back({ { "Name", name }, { "Host", host },
+            { "PathPrefix", "/" + std::string(name) + "/" }, { "Service", "service" },
+            { "Priority", priority }, { "MaxAttempts", 3 }, { "Stretch", 2.0 }, { "TargetLatencyMs", 500 } });
+        priority += 2;
+    }
+    return { { "Version", 1 }, { "Routes", routes }, { "Services", json::array() },
+        { "Limits", { { "MaxBodyBytes", 65536 } } } };
+}
+
 } // namespace camphorwell::fleet
--- a/standins/fleet_options.h
+++ b/standins/fleet_options.h
@@ -3,6 +3,8 @@
 
 #include "jobs/jobs.h"
 
+#include <nlohmann/json_fwd.hpp>
+
 namespace camphorwell::fleet {
 
 struct standin_options {
@@ -15,5 +17,7 @@
 };
 
 standin_options parseOptions(int argc, char** argv);
+// The operator's configuration: the queues quick and batch of `host`.
+nlohmann::json configurationFor(const std::string& host);
 
 } // namespace camphorwell::fleet
