--- a/src/jobs/process/cell_attempts.cpp
+++ b/src/jobs/process/cell_attempts.cpp
@@ -220,6 +220,7 @@
     worker_state& worker = *attempt->worker;
     if (outcome == order_outcome::done) {
         attempt->startAnsweredAt = now;
+        step->tasks[static_cast<size_t>(start.task.index)].lastRanAt = now;
         m.markStarted(*step->job);
         if (attempt->phase == attempt_phase::starting) {
             attempt->phase = attempt_phase::running;
--- a/src/jobs/process/cell_model.h
+++ b/src/jobs/process/cell_model.h
@@ -61,6 +61,7 @@
     bool waiting = false; // The task is listed in step_run::waiting.
     ms notBefore = 0;
     ms waitingSince = 0;
+    ms lastRanAt = 0; // Time at which an attempt was last known to run; 0: not known to this leader.
     worker_state* failedOn = nullptr;
     std::string checkpoint;
     std::vector<task_attempt> attempts;
--- a/src/jobs/process/cell_workers.cpp
+++ b/src/jobs/process/cell_workers.cpp
@@ -355,6 +355,7 @@
     }
     worker.listedAttempts += attempt->listedInReport != worker.reportCount;
     attempt->listedInReport = worker.reportCount;
+    step->tasks[static_cast<size_t>(listedTask.task.index)].lastRanAt = now;
     markStarted(*step->job);
     bool restored = attempt->phase == attempt_phase::restored;
     if (attempt->phase == attempt_phase::starting || restored) {
--- a/tests/jobs/order_test.cpp
+++ b/tests/jobs/order_test.cpp
@@ -21,6 +21,7 @@
         start_action start;
         ms endsAt = 0; // 0 for the service task.
     };
+    worker_id worker = "w";
     std::vector<active_attempt> attempts;
     std::vector<task_completion> completions;
     uint64_t completionCount = 0;
@@ -28,10 +29,24 @@
 
     saturated_service()
     {
-        scheduler.setWorker(workerRecord("w"), now);
         scheduler.begin(now, now);
+        addWorker();
+    }
+    void addWorker()
+    {
+        scheduler.setWorker(workerRecord(worker), now);
         runOnce();
-        report("w", {});
+        report(worker, {});
+    }
+    // The worker does not answer any more, and another one is added.
+    void replaceWorker()
+    {
+        for (const auto& poll : take<poll_action>())
+            scheduler.onPollFailed(poll, order_outcome::no_answer, now);
+        attempts.clear();
+        completions.clear();
+        worker = "other";
+        addWorker();
     }
     void submit(const job_id& id, bool isService)
     {
@@ -67,7 +82,7 @@
         for (const active_attempt& attempt : attempts)
             workerReport.running.push_back({ attempt.start.task, attempt.start.attempt, "", 50, 1'000 });
         workerReport.completions.swap(completions);
-        report("w", workerReport);
+        report(worker, workerReport);
     }
     bool serviceTaskRuns() const
     {
@@ -107,6 +122,23 @@
     BOOST_TEST(service.shortTasksDone > 10);
 }
 
+// The time for which the leases of the lost worker last counts as well.
+BOOST_AUTO_TEST_CASE(short_tasks_do_not_starve_a_service_task_of_a_lost_worker)
+{
+    constexpr ms maxAbsenceMs = 9'000;
+    saturated_service service;
+    service.submit("service", true);
+    for (int i = 0; i < 10 && !service.serviceTaskRuns(); i++)
+        service.iterate();
+    BOOST_REQUIRE(service.serviceTaskRuns());
+    service.replaceWorker();
+    ms lostAt = service.now;
+    while (!service.serviceTaskRuns() && service.now < lostAt + 30'000)
+        service.iterate();
+    BOOST_TEST(service.now - lostAt <= maxAbsenceMs);
+    BOOST_TEST(service.shortTasksDone > 10);
+}
+
 // A short task frees its capacity soon, so it does not wait for a service task that arrived just before it.
 BOOST_AUTO_TEST_CASE(short_tasks_precede_a_new_service_task)
 {
