Workers that leave the list do not make the rest a majority

What could be seen: a task runs twice. An earlier leader that is cut off from the store together with most of the workers extends their leases for up to 15 s. The entries of those workers lapse 3 heartbeats later. A new leader then counted half of the workers that were left, took this for the half that ends the earlier quorum, and gave up the attempts of silent workers 3.4 s later.

Cause: the workers that leave the list and run nothing were taken out of the count while the new leader waited.

Change: the largest number of workers since the beginning of the term counts.

The list may also have shrunk before the new leader reads it; that remains.

--- a/src/jobs/process/cell_model.h
+++ b/src/jobs/process/cell_model.h
@@ -336,6 +336,7 @@
     ms quorumAnsweredSince = 0; // See lease_terms::quorumMs; 0: not known.
     std::optional<earlier_leases> earlierLeases;
     ms majorityReportedAt = 0; // When half of the workers had reported to this leader; 0: not yet.
+    size_t mostWorkersInUse = 0; // Largest result of `countWorkersInUse` until then.
     bool fenced = false;
     bool placingNeeded = false;
     ms beganAt = 0;
--- a/src/jobs/process/cell_workers.cpp
+++ b/src/jobs/process/cell_workers.cpp
@@ -226,13 +226,16 @@
     quorumAnsweredSince = *last;
 }
 
+// Workers that have left the list count as well: their entries also lapse when they are cut off from the
+// store, and an earlier leader on their side may still have its quorum.
 void cell_model::updateMajority()
 {
     if (majorityReportedAt != 0)
         return;
+    mostWorkersInUse = std::max(mostWorkersInUse, countWorkersInUse());
     auto reported = std::count_if(workers.all().begin(), workers.all().end(),
         [](const worker_state* worker) { return worker->hasReported; });
-    if (2 * static_cast<size_t>(reported) >= countWorkersInUse())
+    if (2 * static_cast<size_t>(reported) >= mostWorkersInUse)
         majorityReportedAt = now;
 }
 
--- a/tests/jobs/lease_test.cpp
+++ b/tests/jobs/lease_test.cpp
@@ -134,3 +134,42 @@
         BOOST_TEST(next.now <= beganAt + startsAfterMs + 200);
     }
 }
+
+// Entries of workers that are cut off from the store lapse, while an earlier leader on their side goes on.
+BOOST_AUTO_TEST_CASE(workers_that_leave_the_list_do_not_make_the_rest_a_majority)
+{
+    cell_driver first;
+    first.scheduler.addJob("j", singleStepJob(1));
+    first.scheduler.setWorker(workerRecord("w9"), first.now);
+    first.scheduler.begin(first.now, first.now);
+    first.runOnce();
+    first.report("w9", {});
+    first.runOnce();
+    BOOST_REQUIRE(first.take<start_action>().size() == 1);
+    cell_driver leader;
+    leader.scheduler.restoreProgress("j", first.progress.at("j"));
+    leader.scheduler.addJob("j", singleStepJob(1));
+    for (int i = 0; i < workers; i++)
+        leader.scheduler.setWorker(workerRecord(workerName(i)), leader.now);
+    earlier_leases leases { leader.now + 1'000, 1'000, leader.now + 12'000 };
+    leader.scheduler.setEarlierLeases(leases);
+    leader.scheduler.begin(leader.now, leader.now);
+    ms beganAt = leader.now;
+    std::vector<start_action> starts;
+    while (starts.empty() && leader.now < beganAt + 15'000) {
+        if (leader.now - beganAt == 3'000) {
+            for (int i = 3; i < workers; i++)
+                leader.scheduler.removeWorker(workerName(i), leader.now);
+        }
+        leader.runOnce();
+        for (const poll_action& poll : leader.take<poll_action>()) {
+            if (std::stoi(poll.worker.substr(1)) < 3)
+                leader.report(poll.worker, {});
+            else
+                leader.scheduler.onPollFailed(poll, order_outcome::no_answer, leader.now);
+        }
+        starts = leader.take<start_action>();
+    }
+    BOOST_REQUIRE(starts.size() == 1);
+    BOOST_TEST(leader.now > leases.longestEndAt);
+}
