Starts do not extend the lease of a worker whose poll is not answered

What could be seen: tasks of a worker that has fallen silent wait up to 1.9 s longer, 8.4 s instead of 6.5 s after its last report, of the 9 s that lasting tasks may be away.

Cause: the lease is not extended by polls once one has failed, but each start granted a new one until then, and a poll fails 1.9 s after it was sent.

Change: a start carries the lease that the worker has, if that lasts long enough for a start.

Evidence: start_on_a_worker_that_has_fallen_silent_does_not_extend_its_lease failed before (7,560 > 6,020) and passes now.

--- a/src/jobs/process/cell_progress.cpp
+++ b/src/jobs/process/cell_progress.cpp
@@ -309,7 +309,7 @@
         if (!attempt)
             continue;
         worker_state& worker = *attempt->worker;
-        ms lease = worker.workerNow(now) + leaseLength();
+        ms lease = startLeaseEnd(worker);
         if (attempt->phase != attempt_phase::planned || !startable(placement)) {
             removeAttempt(*placement.step, placement.index, worker, placement.attempt);
             markDirty(*placement.step->job);
--- a/src/jobs/process/cell_workers.cpp
+++ b/src/jobs/process/cell_workers.cpp
@@ -250,6 +250,15 @@
 
 bool cell_model::mayStartTasks() const { return leaseLimit() - now >= minStartLeaseMs; }
 
+// Only polls extend leases that last long enough. A worker may have fallen silent since its last report, and
+// its tasks wait for the end of its lease.
+ms cell_model::startLeaseEnd(const worker_state& worker) const
+{
+    ms end = worker.workerNow(now) + leaseLength();
+    bool lastsLongEnough = worker.leaseUntilWorkerMs - worker.workerNow(now) >= minStartLeaseMs;
+    return lastsLongEnough ? std::min(end, worker.leaseUntilWorkerMs) : end;
+}
+
 bool cell_model::leaseExpired(const worker_state& worker) const
 {
     if (worker.reportedAt == 0)
--- a/tests/jobs/lease_test.cpp
+++ b/tests/jobs/lease_test.cpp
@@ -173,3 +173,25 @@
     BOOST_REQUIRE(starts.size() == 1);
     BOOST_TEST(leader.now > leases.longestEndAt);
 }
+
+BOOST_AUTO_TEST_CASE(start_on_a_worker_that_has_fallen_silent_does_not_extend_its_lease)
+{
+    cell_driver leader;
+    leader.scheduler.setWorker(workerRecord("w0"), leader.now);
+    leader.scheduler.setEarlierLeases({});
+    leader.scheduler.begin(leader.now, leader.now);
+    leader.runOnce();
+    leader.report("w0", {});
+    leader.runOnce();
+    ms granted = 0;
+    for (const poll_action& poll : leader.take<poll_action>())
+        granted = std::max(granted, poll.leaseUntilWorkerMs.value_or(0));
+    BOOST_REQUIRE(granted > 0);
+    for (ms end = leader.now + 1'500; leader.now < end;)
+        leader.runOnce();
+    leader.scheduler.addJob("j", singleStepJob(1));
+    leader.runOnce();
+    auto starts = leader.take<start_action>();
+    BOOST_REQUIRE(starts.size() == 1);
+    BOOST_TEST(starts[0].leaseUntilWorkerMs <= granted);
+}
