--- a/tests/jobs/world.cpp
+++ b/tests/jobs/world.cpp
@@ -66,7 +66,12 @@
     }
 }
 
-world::~world() = default;
+world::~world()
+{
+    // Leaders and their instances refer to each other.
+    for (const leader_ptr& leader : m_leaders)
+        leader->owner.reset();
+}
 
 void world::runAfter(ms delay, std::function<void()> callback)
 {
