--- a/review/common.sh
+++ b/review/common.sh
@@ -128,16 +128,6 @@
     done
 }
 
-# leader: prints the number of the instance that leads the cell, from the instances' logs.
-leader() {
-    local number last=0 newest=0 at
-    for number in "${!instance_pids[@]}"; do
-        at=$(grep -a 'event=cell_taken' "$work_dir/$number.log" | tail -1 | sed 's/.*t=\([0-9]*\).*/\1/')
-        [ -n "$at" ] && [ "$at" -gt "$newest" ] && newest=$at && last=$number
-    done
-    echo "$last"
-}
-
 # submit INSTANCE PATH BODY: hands a job in until it is accepted, as clients do. The workers learn its steps.
 submit() {
     local try
