Review: the checks hold the rule as written

Cause: cases 2 and 3 failed when tasks were not done yet, though LOST asks for 3 s with nothing running; and the stand-in ended the members of a gang in different ways. Change: job_lost in the review's functions; the stand-in ends a gang together.

--- a/review/common.sh
+++ b/review/common.sh
@@ -142,3 +142,26 @@
 
 # count_record PATTERN: number of lines of the record that match.
 count_record() { grep -acE "$1" "$record"; }
+
+# job_lost ID COUNT: the rule LOST at the end of a script: fewer than COUNT tasks of the job have ended done, and for
+# 3 s nothing of it has been running. A job of which something runs, or ran in the last 3 s, is not lost.
+job_lost() {
+    local now
+    http POST "$base_port" /mark '{}'
+    now=$(grep -a ' mark$' "$record" | tail -1 | cut -d' ' -f1)
+    awk -v id="$1." -v count="$2" -v now="$now" '
+        $2 == "start" && index($3, id) == 1 { open[$3 " " $5] = 1; last = $1 }
+        ($2 == "end" || $2 == "gone") && index($3, id) == 1 {
+            delete open[$3 " " $5]; last = $1
+            if ($9 == "done" && !($3 in done)) { done[$3] = 1; ended++ }
+        }
+        END {
+            running = 0
+            for (each in open) running++
+            printf "job %s done %d of %d, running %d, idle for %d ms\n", id, ended, count, running, now - last
+            exit !(ended < count && running == 0 && now - last >= 3000)
+        }' "$record" >"$work_dir/lost"
+    local lost=$?
+    note "$(cat "$work_dir/lost")"
+    return $lost
+}
--- a/review/standin/platform.cpp
+++ b/review/standin/platform.cpp
@@ -159,7 +159,9 @@
     }
     int gangMembersPresent(const running_task&);
     void startGang(const running_task&);
-    void breakGang(const running_task&);
+    // Ends the other members of the gang in the same way.
+    void endGang(const running_task&, const std::string& how);
+    bool endingGang = false;
 };
 
 class worker {
@@ -207,7 +209,7 @@
         lost.swap(m_running);
         for (const running_task& task : lost) {
             m_world.record.write("gone " + task.name + " run " + std::to_string(task.run) + " on " + id);
-            m_world.breakGang(task);
+            m_world.endGang(task, "broken");
         }
         m_ended.clear();
         m_highestRun.clear();
@@ -241,8 +243,8 @@
         m_ended.push_back({ ++m_nextNumber, task.name, task.run, how, saved });
         m_world.record.write("end " + task.name + " run " + std::to_string(task.run) + " on " + id + " how "
             + how + " saved '" + saved + "'");
-        if (how != "broken")
-            m_world.breakGang(task);
+        if (how != "broken" && !m_world.endingGang)
+            m_world.endGang(task, how == "done" ? "done" : "broken");
     }
 
     std::string id;
@@ -501,12 +503,12 @@
     record.write("gang works " + first.parsed.stepName() + " run " + std::to_string(first.run));
 }
 
-void world::breakGang(const running_task& ended)
+void world::endGang(const running_task& ended, const std::string& how)
 {
     if (!ended.step.value("Gang", false))
         return;
     ms now = nowMs();
-    bool allDone = ended.workSince != 0 && ended.doneMs(now) >= ended.workMs;
+    endingGang = true;
     for (auto& each : workers) {
         bool again = true;
         while (again) {
@@ -514,12 +516,13 @@
             for (const running_task& task : each->running()) {
                 if (!sameGang(task, ended) || task.name == ended.name)
                     continue;
-                each->end(task, allDone ? "done" : "broken", now);
+                each->end(task, how, now);
                 again = true;
                 break;
             }
         }
     }
+    endingGang = false;
 }
 
 // Whether each record of an append is within the limit of the store.
@@ -557,6 +560,10 @@
         }
         return reply->send(200, {}, "");
     }
+    if (request.path == "/mark") {
+        surroundings.record.write("mark");
+        return reply->send(200, {}, "");
+    }
     if (request.path == "/entry") {
         std::string id = body.value("Id", std::string());
         surroundings.store.put(platform::workerTopic, id, body["Entry"].dump());
