Review: case 8 names its jobs without an address-like text

Cause: a task's name in the script and its record could be read as an IPv4 address. Change: the ids end with a letter.

--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -14,8 +14,8 @@
 start_deployment "{\"address\":\"$ip\",\"port\":20000,\"workers\":${workers%]}$b_workers],\"configuration\":$(configuration 1 "$(queue card-render)")}"
 # More tasks than the workers of kind b can run at once, so some wait all the while.
 needs_b='{"Spec":"work_ms=4000","Steps":[{"Count":36,"Cpu":8000,"MemMb":500,"EstimateMs":4000,"Requires":"b"}]}'
-submit 1 /card-render/00000000000000b1 "$needs_b" || cannot_run "not accepted"
-submit 2 /card-render/00000000000000b2 "$needs_b" || cannot_run "not accepted"
+submit 1 /card-render/00000000000000ba "$needs_b" || cannot_run "not accepted"
+submit 2 /card-render/00000000000000bb "$needs_b" || cannot_run "not accepted"
 sleep 2
 if [ "$trouble" = 1 ]; then
     note "the store refuses all calls for keyed.servers for 4 s; the workers of kind b crash, and start again after 1 s as kind c"
