--- a/review/common-2.sh
+++ b/review/common-2.sh
@@ -118,5 +118,5 @@
     echo "{${2:-}\"Name\":\"$1\",\"Host\":\"$queue_host\",\"PathPrefix\":\"/$1/\",\"Service\":\"recordar\",\"Priority\":0,\"MaxAttempts\":3,\"Stretch\":2.0,\"TargetLatencyMs\":1000}"
 }
 configuration() { # VERSION ROUTES
-    echo "{\"Version\":$1,\"Routes\":[$2],\"Services\":[{\"Name\":\"recordar\",\"AdmissionCheck\":true}],\"Limits\":{\"MaxBodyBytes\":262144}}"
+    echo "{\"Version\":$1,\"Routes\":[$2],\"Services\":[{\"Name\":\"recordar\",\"AdmissionCheck\":false}],\"Limits\":{\"MaxBodyBytes\":262144}}"
 }
