--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -10,11 +10,11 @@
 # Four workers are full for 6 s when the lasting job comes, so the advice is about the four others.
 full='{"Spec":"work_ms=6000","Steps":[{"Count":4,"Cpu":30000,"MemMb":500,"EstimateMs":6000}]}'
 lasting='{"Spec":"work_ms=200000 advised","Steps":[{"Count":4,"Cpu":20000,"MemMb":500,"LongRunning":true,"AntiAffinity":1}]}'
-submit 1 /card-render/00000000000000a1 "$full" || cannot_run "not accepted"
+submit 1 /card-render/00000000000000ca "$full" || cannot_run "not accepted"
 sleep 1
-submit 2 /date-watch/00000000000000b1 "$lasting" || cannot_run "not accepted"
+submit 2 /date-watch/00000000000000ba "$lasting" || cannot_run "not accepted"
 sleep 11
-victim=$(history | grep 'task=00000000000000b1.0.0.0 ' | sed 's/.*worker=\([^ ]*\).*/\1/')
+victim=$(history | grep 'task=00000000000000ba.0.0.0 ' | sed 's/.*worker=\([^ ]*\).*/\1/')
 [ -n "$victim" ] || cannot_run "the lasting job does not run"
 if [ "$trouble" = 1 ]; then
     note "the worker $victim crashes, and starts again after 2 s"
@@ -23,6 +23,6 @@
 sleep 25
 history >"$work_dir/history"
 cat "$work_dir/history" >>"$record"
-running=$(grep 'task=00000000000000b1\.' "$work_dir/history" | grep -c how=runs)
+running=$(grep 'task=00000000000000ba\.' "$work_dir/history" | grep -c how=runs)
 note "25 s later: $running of 4 lasting tasks run; of 8 workers of 32 cores, $((8 - running)) run nothing"
 [ "$running" = 4 ]
