The clock in the answer to a start or a stop shows a later life of the worker

Cause: a worker that has started again under its id and listens may take a start before its entry has been read or a poll has reached it. It answers with 200, and the leader credited that to the former life: it dropped the ClockMs of the answer, which has begun anew. Cut off right then, the worker runs the task under a lease of its maximum, since the start's deadline is one of the former clock; the leader waits for the end of the former life's lease only and starts the task elsewhere.

Change: orders carry the least that the clock of the life that they are sent to shows at the answer; an answer that shows less is from a later life (worker_new_life source=answer). From then on the attempts are kept as for any life that has not answered a poll.

Test: late_start_test, start_that_an_unseen_life_has_answered_is_not_repeated_elsewhere and stop_that_an_unseen_life_has_answered_shows_that_life failed with the check of the clock taken out and pass with it.

--- a/src/jobs/jobs.h
+++ b/src/jobs/jobs.h
@@ -178,6 +178,18 @@
 };
 std::string_view toString(order_outcome);
 
+// A worker's answer to a start or a stop.
+struct order_answer {
+    order_answer(order_outcome result, std::optional<ms> clock = std::nullopt)
+        : outcome(result)
+        , clockWorkerMs(clock)
+    {
+    }
+    order_outcome outcome;
+    std::optional<ms> clockWorkerMs; // Time on the worker's clock; empty if the answer does not tell it.
+    bool operator==(const order_answer&) const = default;
+};
+
 // The longest time that a lease of `leaseMs` on a worker's clock may last, including the kill at its end and
 // the delay of answers.
 ms worstLeaseMs(ms leaseMs);
@@ -208,12 +220,16 @@
     ms leaseUntilWorkerMs = 0;
     // Number of incarnations of the worker that this leader has seen; see `fencingToken`.
     uint32_t incarnation = 0;
+    // The least that the clock of this incarnation shows when it answers. The answer of a later one, whose
+    // clock has begun anew, shows less.
+    ms leastClockWorkerMs = 0;
 };
 struct stop_action {
     worker_id worker;
     task_ref task;
     uint32_t attempt = 0;
     uint32_t incarnation = 0;
+    ms leastClockWorkerMs = 0; // As in a start.
 };
 struct pace_action {
     worker_id worker;
--- a/src/jobs/process/cell.h
+++ b/src/jobs/process/cell.h
@@ -125,8 +125,8 @@
     void setRenewedAt(ms sentAt);
 
     // Answers to actions. `sentAt` is the time at which the poll was sent.
-    void onStarted(const start_action&, order_outcome, ms now);
-    void onStopped(const stop_action&, order_outcome, ms now);
+    void onStarted(const start_action&, const order_answer&, ms now);
+    void onStopped(const stop_action&, const order_answer&, ms now);
     void onReport(const worker_id&, const worker_report&, ms sentAt, ms now);
     void onPollFailed(const poll_action&, order_outcome, ms now);
     // `requested` are the workers that were asked about, `advised` those that may run the step.
--- a/src/jobs/process/cell_attempts.cpp
+++ b/src/jobs/process/cell_attempts.cpp
@@ -203,8 +203,9 @@
 void cell_model::sendStop(step_run& step, int index, task_attempt& attempt)
 {
     attempt.stopSentAt = now;
+    const worker_state& worker = *attempt.worker;
     actions.push_back(stop_action {
-        attempt.worker->info.id, step.ref(index), attempt.number, attempt.worker->incarnation });
+        worker.info.id, step.ref(index), attempt.number, worker.incarnation, leastClock(worker) });
 }
 
 void cell_model::stopAttempt(step_run& step, int index, task_attempt& attempt, std::string_view reason)
@@ -223,25 +224,28 @@
         sendStop(step, index, attempt);
 }
 
-void cell::onStopped(const stop_action& stop, order_outcome outcome, ms now)
+void cell::onStopped(const stop_action& stop, const order_answer& answer, ms now)
 {
     cell_model& m = *m_model;
     m.now = now;
+    m.noteClockOfAnswer(stop.worker, stop.incarnation, stop.leastClockWorkerMs, answer);
     worker_state* worker = m.workers.find(stop.worker);
-    if (outcome == order_outcome::fenced && worker)
+    if (answer.outcome == order_outcome::fenced && worker)
         m.markFenced(*worker, stop.incarnation);
     step_run* step = m.findStep(stop.task);
     task_attempt* attempt = step ? cell_model::findAttempt({ step, stop.task.index, stop.attempt }) : nullptr;
     if (!attempt || attempt->worker->info.id != stop.worker)
         return;
-    if (outcome == order_outcome::done && stop.incarnation == attempt->worker->incarnation)
+    if (answer.outcome == order_outcome::done && stop.incarnation == attempt->worker->incarnation)
         attempt->stopAnsweredAt = now;
 }
 
-void cell::onStarted(const start_action& start, order_outcome outcome, ms now)
+void cell::onStarted(const start_action& start, const order_answer& answer, ms now)
 {
     cell_model& m = *m_model;
     m.now = now;
+    m.noteClockOfAnswer(start.worker, start.incarnation, start.leastClockWorkerMs, answer);
+    order_outcome outcome = answer.outcome;
     step_run* step = m.findStep(start.task);
     task_attempt* attempt
         = step ? cell_model::findAttempt({ step, start.task.index, start.attempt }) : nullptr;
--- a/src/jobs/process/cell_incarnations.cpp
+++ b/src/jobs/process/cell_incarnations.cpp
@@ -40,6 +40,25 @@
     return worker.listed || now - std::max(worker.unlistedSince, beganAt) <= goneAfterMs;
 }
 
+// The clock may be slow, and was read before the report arrived.
+ms cell_model::leastClock(const worker_state& worker) const
+{
+    if (!worker.hasReported)
+        return 0;
+    return worker.clockWorkerMs
+        + static_cast<ms>(static_cast<double>(now - worker.clockAt) / clockErrorFactor);
+}
+
+// The clock of an incarnation never goes back, and that of a later one begins anew.
+void cell_model::noteClockOfAnswer(
+    const worker_id& id, uint32_t incarnation, ms leastClockWorkerMs, const order_answer& answer)
+{
+    worker_state* worker = workers.find(id);
+    if (worker && worker->incarnation == incarnation && answer.clockWorkerMs
+        && *answer.clockWorkerMs < leastClockWorkerMs)
+        handleNewIncarnation(*worker, "answer");
+}
+
 // Format: [format, start time of the incarnation in Unix milliseconds, whether it has not answered].
 void cell_model::recordIncarnations(write_batch& batch)
 {
--- a/src/jobs/process/cell_model.h
+++ b/src/jobs/process/cell_model.h
@@ -20,6 +20,8 @@
 // stopping: must end, and nothing else may run for its task until it has.
 enum class attempt_phase : uint8_t { planned, starting, restored, running, stopping };
 
+constexpr double clockErrorFactor = 1.03; // A worker's clock may be 2% slow.
+
 struct worker_state;
 struct step_run;
 struct job_run;
@@ -448,6 +450,10 @@
     void endAttemptsOfEarlierIncarnations();
     // Whether an attempt on the worker may still be started by an incarnation that has not answered.
     bool mayStartLate(const worker_state&) const;
+    // The least that the clock of the worker's present incarnation shows now; 0 before its first report.
+    ms leastClock(const worker_state&) const;
+    void noteClockOfAnswer(
+        const worker_id&, uint32_t incarnation, ms leastClockWorkerMs, const order_answer&);
 
     // cell_workers.cpp
     worker_state& findOrAddWorker(const worker_id&);
--- a/src/jobs/process/cell_progress.cpp
+++ b/src/jobs/process/cell_progress.cpp
@@ -352,7 +352,7 @@
         actions.push_back(start_action { worker.info.id, placement.step->ref(placement.index),
             placement.attempt, placement.step->job->payload,
             placement.step->tasks[static_cast<size_t>(placement.index)].checkpoint, attempt->ticket, lease,
-            worker.incarnation });
+            worker.incarnation, leastClock(worker) });
     }
 }
 
--- a/src/jobs/process/cell_workers.cpp
+++ b/src/jobs/process/cell_workers.cpp
@@ -20,7 +20,6 @@
 
 namespace {
 
-    constexpr double clockErrorFactor = 1.03; // A worker's clock may be 2% slow.
     // Allowance for the time from lease expiry to the kill and for the delay of answers.
     constexpr ms leaseExpirySlackMs = 300;
     constexpr ms minStartLeaseMs = 1000; // No task is started under a shorter lease.
--- a/src/scheduler/process/cell_host_work.cpp
+++ b/src/scheduler/process/cell_host_work.cpp
@@ -128,11 +128,11 @@
             self.context.counts["starts"]++;
             self.workers.start(self.ledCell->addressOf(order.worker), order,
                 fencingToken(self.token, order.incarnation),
-                [&self = self, term = term, order](order_outcome outcome) {
+                [&self = self, term = term, order](const order_answer& answer) {
                     if (!self.leadsInTerm(term))
                         return;
-                    self.ledCell->onStarted(order, outcome, bootNow());
-                    if (outcome != order_outcome::done)
+                    self.ledCell->onStarted(order, answer, bootNow());
+                    if (answer.outcome != order_outcome::done)
                         self.scheduleFlush();
                     else
                         self.performActions();
@@ -143,16 +143,16 @@
             self.context.counts["stops"]++;
             self.workers.stop(self.ledCell->addressOf(order.worker), order,
                 fencingToken(self.token, order.incarnation),
-                [&self = self, term = term, order](order_outcome outcome) {
+                [&self = self, term = term, order](const order_answer& answer) {
                     if (self.leadsInTerm(term))
-                        self.ledCell->onStopped(order, outcome, bootNow());
+                        self.ledCell->onStopped(order, answer, bootNow());
                 });
         }
         void operator()(const pace_action& order) const
         {
             self.context.counts["paces"]++;
             self.workers.pace(self.ledCell->addressOf(order.worker), order,
-                fencingToken(self.token, order.incarnation), [](order_outcome) {});
+                fencingToken(self.token, order.incarnation), [](const order_answer&) {});
         }
         void operator()(const poll_action& order) const
         {
--- a/tests/jobs/late_start_test.cpp
+++ b/tests/jobs/late_start_test.cpp
@@ -111,6 +111,41 @@
     finishOnLaterLife(driver);
 }
 
+// The clock of the later life has begun anew. It is cut off before anything else shows that it is there.
+BOOST_AUTO_TEST_CASE(start_that_an_unseen_life_has_answered_is_not_repeated_elsewhere)
+{
+    cell_driver driver;
+    start_action start = startUnanswered(driver);
+    driver.scheduler.onStarted(start, { order_outcome::done, 300 }, driver.now);
+    BOOST_TEST(runWithoutWorker(driver, silenceMs).empty());
+    finishOnLaterLife(driver);
+}
+
+BOOST_AUTO_TEST_CASE(stop_that_an_unseen_life_has_answered_shows_that_life)
+{
+    cell_driver driver;
+    start_action start = startUnanswered(driver);
+    driver.scheduler.onStarted(start, order_outcome::no_answer, driver.now);
+    driver.collectActions();
+    auto stops = driver.take<stop_action>();
+    BOOST_REQUIRE(stops.size() == 1);
+    driver.scheduler.onStopped(stops[0], { order_outcome::done, 300 }, driver.now);
+    BOOST_TEST(runWithoutWorker(driver, silenceMs).empty());
+    finishOnLaterLife(driver);
+}
+
+BOOST_AUTO_TEST_CASE(answer_of_the_same_life_is_not_taken_for_that_of_a_later_one)
+{
+    for (double clockRate : { 0.98, 1.0, 1.02 }) {
+        cell_driver driver;
+        ms reportedAt = driver.now + 20;
+        start_action start = startUnanswered(driver);
+        auto clock = reportedAt + static_cast<ms>(static_cast<double>(driver.now - reportedAt) * clockRate);
+        driver.scheduler.onStarted(start, { order_outcome::done, clock }, driver.now);
+        BOOST_TEST(runWithoutWorker(driver, silenceMs).size() == 1);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(unanswered_start_is_repeated_when_the_worker_is_gone)
 {
     cell_driver driver;
