A worker that missed a poll is to answer the next one at once

Change: such a poll has no wait, so a later life is known one round trip after the worker is back. Test: late_start_test, worker_that_missed_a_poll_is_to_answer_the_next_one_at_once, failed before (its wait was 1000).

--- a/src/jobs/process/cell_workers.cpp
+++ b/src/jobs/process/cell_workers.cpp
@@ -178,6 +178,9 @@
         poll.waitMs = std::clamp(perWorker / maxPollsPerSecond,
             shared ? settings.sharedPollWaitMs : settings.pollWaitMs,
             std::max(settings.pollWaitMs, settings.sharedPollWaitMs));
+        // It may have started again, which is to be known soon.
+        if (worker.failedPolls > 0)
+            poll.waitMs = 0;
         if (renewalOverdue())
             poll.waitMs = std::min(
                 poll.waitMs, std::max(overdueRenewalPollWaitMs, perWorker / maxOverduePollsPerSecond));
--- a/tests/jobs/late_start_test.cpp
+++ b/tests/jobs/late_start_test.cpp
@@ -111,6 +111,22 @@
     finishOnLaterLife(driver);
 }
 
+BOOST_AUTO_TEST_CASE(worker_that_missed_a_poll_is_to_answer_the_next_one_at_once)
+{
+    constexpr ms longestRetryMs = 1'000;
+    cell_driver driver;
+    startUnanswered(driver);
+    auto polls = driver.take<poll_action>();
+    BOOST_REQUIRE(!polls.empty());
+    BOOST_TEST(polls.back().waitMs > 0);
+    driver.scheduler.onPollFailed(polls.back(), order_outcome::no_answer, driver.now);
+    runWithoutWorker(driver, longestRetryMs);
+    polls = driver.take<poll_action>();
+    std::erase_if(polls, [](const poll_action& poll) { return poll.worker != "w"; });
+    BOOST_REQUIRE(polls.size() == 1);
+    BOOST_TEST(polls[0].waitMs == 0);
+}
+
 // The clock of the later life has begun anew. It is cut off before anything else shows that it is there.
 BOOST_AUTO_TEST_CASE(start_that_an_unseen_life_has_answered_is_not_repeated_elsewhere)
 {
