Attempts that a life nobody has seen may run are kept until its lease is over

Cause: an order's deadline is a time on the clock of the life that it was sent to. A later life that takes the order has a clock that has begun anew, so the deadline gives it a lease of its maximum. While neither entry nor report showed that life, the leader counted the former one's lease and, at its end, started the task elsewhere. Class: time taken as proof in a frame (the former clock) that the one who acts does not share. Change: an attempt is confirmed when the life that the start was sent to lists it or answers the start, which its clock shows. Those end with their lease or their life, as before; attempts whose start nobody has confirmed are kept until the longest lease is over, counted from the latest time at which an order with a lease may have arrived. worker_lost says how many were kept. A start that was answered and not listed yet now ends with its life at once. Why this works: a life that this leader has not seen can run only what was sent to it, so only unconfirmed starts, and holds no lease beyond that time.

--- a/src/jobs/jobs.h
+++ b/src/jobs/jobs.h
@@ -190,6 +190,9 @@
     bool operator==(const order_answer&) const = default;
 };
 
+// The longest time that a call to a worker may be under way before it is given up.
+constexpr ms longestOrderDelayMs = 2200;
+
 // The longest time that a lease of `leaseMs` on a worker's clock may last, including the kill at its end and
 // the delay of answers.
 ms worstLeaseMs(ms leaseMs);
--- a/src/jobs/process/cell_attempts.cpp
+++ b/src/jobs/process/cell_attempts.cpp
@@ -254,6 +254,9 @@
     worker_state& worker = *attempt->worker;
     if (outcome == order_outcome::done) {
         attempt->startAnsweredAt = now;
+        if (start.incarnation == worker.incarnation && answer.clockWorkerMs
+            && start.leastClockWorkerMs >= cell_model::minConfirmingClockMs)
+            m.confirmAttempt(*attempt, *step, worker.info.startedUnixMs);
         step->tasks[static_cast<size_t>(start.task.index)].lastRanAt = now;
         m.markStarted(*step->job);
         if (attempt->phase == attempt_phase::starting) {
@@ -289,7 +292,7 @@
     if (outcome == order_outcome::unhealthy || outcome == order_outcome::malformed)
         worker.noStartsUntil = std::max(worker.noStartsUntil, now + baseQuarantineMs);
     if (outcome == order_outcome::other_incarnation && start.incarnation == worker.incarnation) {
-        m.dropLostWorker(worker, "another_life_at_address");
+        m.dropLostWorker(worker, "another_life_at_address", std::vector(worker.placements));
         return;
     }
     step->tasks[static_cast<size_t>(start.task.index)].notBefore = now + retryDelayMs;
--- a/src/jobs/process/cell_incarnations.cpp
+++ b/src/jobs/process/cell_incarnations.cpp
@@ -1,4 +1,10 @@
-// Incarnations of workers that have not answered yet.
+// Incarnations of workers that have not answered yet, or are not known yet.
+//
+// A worker that has started again takes orders before its entry can be read. The clock in its answer shows
+// that it is a later incarnation. If there is no answer, its lease is not known: the order's deadline was a
+// time on the earlier clock. An attempt is therefore kept beyond the lease, until the longest one that any
+// incarnation may hold is over, unless the incarnation that the start was sent to has listed the attempt or
+// answered the start.
 //
 // An order that was not answered may be carried out seconds later, and by a later incarnation of the worker:
 // that knows neither the token of the order's sender nor the stop that followed, and its clock begins anew,
@@ -8,7 +14,7 @@
 //
 // The next leader has to know which incarnation the recorded attempts were sent to. With the attempts, the
 // progress topic records that of each worker under a key of its own, before the first start is sent there.
-// The record of a service task says in addition whether that incarnation has listed the attempt, which has
+// The record of a service task says in addition whether that incarnation has confirmed the attempt, which has
 // then ended when a later one is seen: such a task is to run again soon, also if the worker is lost.
 #include "jobs/process/cell_model.h"
 #include "jobs/request/record_writer.h"
@@ -40,6 +46,24 @@
     return worker.listed || now - std::max(worker.unlistedSince, beganAt) <= goneAfterMs;
 }
 
+// The start was sent to the present incarnation, which has not confirmed it. A later one may have received
+// it, and runs it under a lease of the worker's maximum from the last order on that grants a lease.
+bool cell_model::mayRunUnseen(const task_attempt& attempt) const
+{
+    ms sentAt = attempt.worker->leaseSentAt;
+    if (!attempt.startSent || attempt.confirmedByStartedUnixMs != 0 || sentAt == 0)
+        return false;
+    return now <= sentAt + longestOrderDelayMs + worstLeaseMs(settings.maxLeaseMs)
+        && !hasFault(cell_fault::end_unanswered_incarnations);
+}
+
+void cell_model::confirmAttempt(task_attempt& attempt, const step_run& step, int64_t startedUnixMs)
+{
+    bool first = std::exchange(attempt.confirmedByStartedUnixMs, startedUnixMs) != startedUnixMs;
+    if (first && step.spec->isService)
+        markDirty(*step.job); // The record tells the next leader.
+}
+
 // The clock may be slow, and was read before the report arrived.
 ms cell_model::leastClock(const worker_state& worker) const
 {
@@ -55,7 +79,7 @@
 {
     worker_state* worker = workers.find(id);
     if (worker && worker->incarnation == incarnation && answer.clockWorkerMs
-        && *answer.clockWorkerMs < leastClockWorkerMs)
+        && *answer.clockWorkerMs < leastClockWorkerMs && !hasFault(cell_fault::end_unanswered_incarnations))
         handleNewIncarnation(*worker, "answer");
 }
 
@@ -99,21 +123,21 @@
     worker.restoredLongLeases |= worker.awaitsFirstAnswer;
 }
 
-bool cell_model::isListedByRecordedIncarnation(const task_attempt& attempt)
+bool cell_model::isConfirmedByRecordedIncarnation(const task_attempt& attempt)
 {
-    int64_t listedBy = attempt.listedByStartedUnixMs;
-    return listedBy != 0 && listedBy == attempt.worker->info.startedUnixMs;
+    int64_t confirmedBy = attempt.confirmedByStartedUnixMs;
+    return confirmedBy != 0 && confirmedBy == attempt.worker->info.startedUnixMs;
 }
 
-// Ends restored attempts that an incarnation has listed, if a later one was seen during the recovery.
+// Ends restored attempts that an incarnation has confirmed, if a later one was seen during the recovery.
 void cell_model::endAttemptsOfEarlierIncarnations()
 {
     for (worker_state* worker : workers.all()) {
         std::vector<task_placement> ended;
         for (const task_placement& placement : worker->placements) {
             const task_attempt* attempt = findAttempt(placement);
-            if (attempt && attempt->listedByStartedUnixMs != 0
-                && attempt->listedByStartedUnixMs < worker->info.startedUnixMs)
+            if (attempt && attempt->confirmedByStartedUnixMs != 0
+                && attempt->confirmedByStartedUnixMs < worker->info.startedUnixMs)
                 ended.push_back(placement);
         }
         endAttempts(*worker, ended, "gang_member_lost");
--- a/src/jobs/process/cell_model.h
+++ b/src/jobs/process/cell_model.h
@@ -38,8 +38,9 @@
     ms stopSentAt = 0;
     ms stopAnsweredAt = 0;
     uint64_t listedInReport = 0; // worker_state::reportCount of the last report that lists the attempt.
-    // Start time of the worker's incarnation that listed the attempt; 0: none has, or its report lacks it.
-    int64_t listedByStartedUnixMs = 0;
+    // Start time of the worker's incarnation that has listed the attempt or answered its start; 0: none is
+    // known to have.
+    int64_t confirmedByStartedUnixMs = 0;
     int percent = 0;
     ms percentChangedAt = 0;
     // Start of the current speed measurement, and the progress and pace at that time.
@@ -271,6 +272,7 @@
     ms clockWorkerMs = 0; // The worker's clock at `clockAt`.
     ms clockAt = 0;
     ms leaseUntilWorkerMs = 0; // Latest end of the leases that may have been granted.
+    ms leaseSentAt = 0; // When the last order that grants a lease was sent; 0: none was.
 
     int consecutiveFailures = 0; // Consecutive failures of the same job count once.
     job_id lastFailedJob;
@@ -442,14 +444,21 @@
     void releaseFinishedJobs();
 
     // cell_incarnations.cpp
+    // An incarnation that is older when a start is sent shows a later clock in its answer than any
+    // incarnation after it could: the start is answered within `longestOrderDelayMs`, and the report that the
+    // clock was taken from is two seconds old at most.
+    static constexpr ms minConfirmingClockMs = 5000;
     void recordIncarnations(write_batch&);
     void restoreIncarnation(const worker_id&, std::string_view bytes);
     void forgetIncarnation(worker_state&);
-    // Whether the incarnation that is recorded for its worker has listed the attempt.
-    static bool isListedByRecordedIncarnation(const task_attempt&);
+    // Whether the incarnation that is recorded for its worker has confirmed the attempt.
+    static bool isConfirmedByRecordedIncarnation(const task_attempt&);
     void endAttemptsOfEarlierIncarnations();
     // Whether an attempt on the worker may still be started by an incarnation that has not answered.
     bool mayStartLate(const worker_state&) const;
+    // Whether an incarnation that this leader has not seen may run the attempt.
+    bool mayRunUnseen(const task_attempt&) const;
+    void confirmAttempt(task_attempt&, const step_run&, int64_t startedUnixMs);
     // The least that the clock of the worker's present incarnation shows now; 0 before its first report.
     ms leastClock(const worker_state&) const;
     void noteClockOfAnswer(
@@ -467,7 +476,8 @@
     void pollWorker(worker_state&);
     void resendStops(worker_state&);
     void handleNewIncarnation(worker_state&, std::string_view source);
-    void dropLostWorker(worker_state&, std::string_view reason);
+    void endAttemptsWithLease(worker_state&);
+    void dropLostWorker(worker_state&, std::string_view reason, const std::vector<task_placement>& ended);
     void endAttempts(worker_state&, const std::vector<task_placement>&, std::string_view gangReason);
     size_t countWorkersInUse() const;
     void updateQuorum();
--- a/src/jobs/process/cell_progress.cpp
+++ b/src/jobs/process/cell_progress.cpp
@@ -18,11 +18,11 @@
     {
         bool longLease = std::any_of(task.attempts.begin(), task.attempts.end(),
             [](const task_attempt& attempt) { return attempt.longLease; });
-        bool listed = spec.isService && !task.attempts.empty()
+        bool confirmed = spec.isService && !task.attempts.empty()
             && std::all_of(
-                task.attempts.begin(), task.attempts.end(), &cell_model::isListedByRecordedIncarnation);
+                task.attempts.begin(), task.attempts.end(), &cell_model::isConfirmedByRecordedIncarnation);
         bool gangFailed = spec.gang && task.failures > 0;
-        size_t fields = listed ? 9 : longLease ? 8 : gangFailed ? 7 : task.checkpoint.empty() ? 5 : 6;
+        size_t fields = confirmed ? 9 : longLease ? 8 : gangFailed ? 7 : task.checkpoint.empty() ? 5 : 6;
         out.array(fields);
         out.number(index).number(task.lastAttempt).number(task.failures).number(task.done ? 1 : 0);
         out.array(2 * task.attempts.size());
@@ -35,7 +35,7 @@
         if (fields > 7)
             out.flag(longLease);
         if (fields > 8)
-            out.flag(listed);
+            out.flag(confirmed);
     }
 
     // A member of a gang may be done without an attempt that this leader knows of.
@@ -82,11 +82,10 @@
 
 // Format: [format, state, next occurrence, [[occurrence, [[step, [task, ...]]]]], started], where a task is
 // [index, last attempt, failures, done, [attempt, worker, attempt, worker, ...], checkpoint, last failed
-// attempt, long lease, listed by the worker's recorded incarnation]. Fields at the end are left out: the last
-// two if they are false, the one before them unless the first member of a gang has failed, and then an empty
-// checkpoint.
-// The record of a finished job is [format, state], and [format, state, false] if only a cancel of it was
-// read.
+// attempt, long lease, confirmed by the worker's recorded incarnation]. Fields at the end are left out: the
+// last two if they are false, the one before them unless the first member of a gang has failed, and then an
+// empty checkpoint. The record of a finished job is [format, state], and [format, state, false] if only a
+// cancel of it was read.
 std::string cell_model::encodeProgress(const job_run& job) const
 {
     record_writer out;
@@ -177,7 +176,7 @@
                     if (taskEntry.size() > 6)
                         task.lastFailedAttempt = taskEntry.at(6);
                     bool longLease = taskEntry.size() > 7 && taskEntry.at(7).get<bool>();
-                    bool listed = taskEntry.size() > 8 && taskEntry.at(8).get<bool>();
+                    bool confirmed = taskEntry.size() > 8 && taskEntry.at(8).get<bool>();
                     const json& attemptList = taskEntry.at(4);
                     for (size_t i = 0; i + 1 < attemptList.size() && !hasFault(cell_fault::forget_restored);
                          i += 2) {
@@ -185,8 +184,9 @@
                             = place(step, index, findOrAddWorker(attemptList[i + 1]), attemptList[i]);
                         attempt.startSent = true;
                         attempt.phase = attempt_phase::restored;
-                        if (listed)
-                            attempt.listedByStartedUnixMs = attempt.worker->recordedIncarnation.startedUnixMs;
+                        if (confirmed)
+                            attempt.confirmedByStartedUnixMs
+                                = attempt.worker->recordedIncarnation.startedUnixMs;
                         attempt.longLease |= longLease;
                         attempt.worker->hasLongLeases |= longLease;
                         attempt.worker->restoredLongLeases |= longLease;
@@ -349,6 +349,7 @@
         attempt->startSent = true;
         attempt->percentChangedAt = now;
         worker.leaseUntilWorkerMs = std::max(worker.leaseUntilWorkerMs, lease);
+        worker.leaseSentAt = now;
         actions.push_back(start_action { worker.info.id, placement.step->ref(placement.index),
             placement.attempt, placement.step->job->payload,
             placement.step->tasks[static_cast<size_t>(placement.index)].checkpoint, attempt->ticket, lease,
--- a/src/jobs/process/cell_workers.cpp
+++ b/src/jobs/process/cell_workers.cpp
@@ -150,7 +150,7 @@
     updateMajority();
     for (worker_state* worker : workers.all()) {
         if (!worker->placements.empty() && leaseExpired(*worker))
-            dropLostWorker(*worker, worker->awaitsFirstAnswer ? "gone" : "lease_over");
+            endAttemptsWithLease(*worker);
         expireLongLeases(*worker);
         pollWorker(*worker);
     }
@@ -188,6 +188,7 @@
         if (leaseLength() > 0 && worker.failedPolls == 0) {
             poll.leaseUntilWorkerMs = worker.workerNow(now) + leaseLength();
             worker.leaseUntilWorkerMs = std::max(worker.leaseUntilWorkerMs, *poll.leaseUntilWorkerMs);
+            worker.leaseSentAt = now;
         }
     }
     worker.pollInFlight = true;
@@ -355,7 +356,7 @@
     std::vector<task_placement> ended;
     for (const task_placement& placement : worker.placements) {
         task_attempt* attempt = findAttempt(placement);
-        if (attempt && (attempt->listedByStartedUnixMs != 0 || !attempt->startSent))
+        if (attempt && (attempt->confirmedByStartedUnixMs != 0 || !attempt->startSent))
             ended.push_back(placement);
         else if (attempt && attempt->phase == attempt_phase::stopping)
             attempt->stopAnsweredAt = attempt->stopSentAt = 0;
@@ -376,19 +377,34 @@
     }
 }
 
-void cell_model::dropLostWorker(worker_state& worker, std::string_view reason)
+// Attempts that an unseen incarnation may run are kept.
+void cell_model::endAttemptsWithLease(worker_state& worker)
+{
+    std::vector<task_placement> ended;
+    std::copy_if(worker.placements.begin(), worker.placements.end(), std::back_inserter(ended),
+        [&](const task_placement& placement) {
+            const task_attempt* attempt = findAttempt(placement);
+            return !attempt || !mayRunUnseen(*attempt);
+        });
+    if (!ended.empty())
+        dropLostWorker(worker, worker.awaitsFirstAnswer ? "gone" : "lease_over", ended);
+}
+
+void cell_model::dropLostWorker(
+    worker_state& worker, std::string_view reason, const std::vector<task_placement>& ended)
 {
     log(log_line("worker_lost")
             .add("worker", worker.info.id)
             .add("why", reason)
             .add("silent_ms", worker.reportedAt == 0 ? -1 : now - worker.reportedAt)
             .add("led_ms", now - beganAt)
-            .add("tasks", static_cast<int64_t>(worker.placements.size())));
+            .add("tasks", static_cast<int64_t>(ended.size()))
+            .add("kept", static_cast<int64_t>(worker.placements.size() - ended.size())));
     worker.hasReported = false;
     worker.processedSequence = worker.acknowledgedSequence = 0;
     worker.leaseUntilWorkerMs = worker.clockWorkerMs = 0;
     std::erase_if(writingCompletions, [&](const auto& entry) { return entry.first == &worker; });
-    endAttempts(worker, std::vector(worker.placements), "gang_member_lost");
+    endAttempts(worker, ended, "gang_member_lost");
 }
 
 void cell_model::countFailedPoll(worker_state& worker)
@@ -408,14 +424,14 @@
     worker_state& worker = *found;
     m.countFailedPoll(worker);
     if (m.hasFault(cell_fault::drop_silent_workers) && worker.hasReported)
-        m.dropLostWorker(worker, "silent");
+        m.dropLostWorker(worker, "silent", std::vector(worker.placements));
     if (worker.failedPolls == 1)
         m.log(log_line("look_failed").add("worker", poll.worker).add("outcome", toString(outcome)));
     if (outcome == order_outcome::fenced)
         m.markFenced(worker, poll.incarnation);
     if (outcome == order_outcome::other_incarnation && worker.hasReported
         && poll.incarnation == worker.incarnation)
-        m.dropLostWorker(worker, "another_life_at_address");
+        m.dropLostWorker(worker, "another_life_at_address", std::vector(worker.placements));
 }
 
 void cell::onReport(const worker_id& id, const worker_report& report, ms sentAt, ms now)
@@ -521,9 +537,7 @@
     }
     worker.listedAttempts += attempt->listedInReport != worker.reportCount;
     attempt->listedInReport = worker.reportCount;
-    bool listedFirst = std::exchange(attempt->listedByStartedUnixMs, startedUnixMs) != startedUnixMs;
-    if (listedFirst && step->spec->isService)
-        markDirty(*step->job); // For the next leader, see cell_incarnations.cpp.
+    confirmAttempt(*attempt, *step, startedUnixMs);
     step->tasks[static_cast<size_t>(listedTask.task.index)].lastRanAt = now;
     markStarted(*step->job);
     bool restored = attempt->phase == attempt_phase::restored;
