A call that was given up is not delivered later by this machine's kernel

Behind a cut the start would reach the worker seconds after the leader had counted every lease that it could give. Change: connections of the HTTP client are closed with a reset, which discards what was not delivered. Test: net_test, a_call_that_was_given_up_is_not_delivered_later, failed before (the server read on to an orderly end). A proxy that has taken the bytes can still hold them.

--- a/src/net/connection/http_client.cpp
+++ b/src/net/connection/http_client.cpp
@@ -50,7 +50,7 @@
     struct connection {
         evhttp_connection* handle = nullptr;
         bool busy = false;
-        int noDelaySocket = -1; // Socket with TCP_NODELAY set; differs after a reconnection.
+        int configuredSocket = -1; // Socket with its options set; -1 after it was closed.
         uint64_t latestCall = 0; // Number of the latest call on this connection.
         uint64_t firstCall = 0; // Number of the first call after the connection was opened.
         std::weak_ptr<state> client;
@@ -88,6 +88,7 @@
         created->handle = evhttp_connection_base_new(loop.base(), nullptr, address.c_str(), port);
         evhttp_connection_set_retries(created->handle, 0);
         evhttp_connection_set_max_body_size(created->handle, static_cast<ev_ssize_t>(maxResponseBytes));
+        evhttp_connection_set_closecb(created->handle, onClosed, created.get());
         created->client = weak_from_this();
         created->firstCall = callCount + 1;
         connections.push_back(std::move(created));
@@ -153,11 +154,20 @@
         }
         bufferevent* bev = evhttp_connection_get_bufferevent(conn->handle);
         int fd = bev ? bufferevent_getfd(bev) : -1;
-        if (fd < 0 || fd == conn->noDelaySocket)
+        if (fd < 0 || fd == conn->configuredSocket)
             return;
         int enabled = 1;
         setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &enabled, sizeof enabled);
-        conn->noDelaySocket = fd;
+        // Closing discards what the kernel has not delivered yet. It would go on for minutes, and deliver a
+        // call that was given up once the network or the server is back.
+        linger discard { 1, 0 };
+        setsockopt(fd, SOL_SOCKET, SO_LINGER, &discard, sizeof discard);
+        conn->configuredSocket = fd;
+    }
+
+    static void onClosed(evhttp_connection*, void* arg)
+    {
+        static_cast<connection*>(arg)->configuredSocket = -1;
     }
 
     static void onDone(evhttp_request* request, void* arg)
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -28,6 +28,20 @@
     return fd;
 }
 
+int listenOn(uint16_t portNumber)
+{
+    int fd = socket(AF_INET, SOCK_STREAM, 0);
+    int enabled = 1;
+    setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &enabled, sizeof enabled);
+    sockaddr_in address {};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(portNumber);
+    inet_pton(AF_INET, "127.0.0.1", &address.sin_addr);
+    BOOST_REQUIRE(bind(fd, reinterpret_cast<sockaddr*>(&address), sizeof address) == 0);
+    BOOST_REQUIRE(listen(fd, 1) == 0);
+    return fd;
+}
+
 // Sends one of `pieces` every 2 ms and reads until the response contains the expected text or the connection
 // closes.
 struct raw_caller {
@@ -158,3 +172,29 @@
     caller.run("too much");
     BOOST_TEST(oversized);
 }
+
+// The server does not read, as if the network held what is sent. Most of the request waits in the client's
+// kernel.
+BOOST_AUTO_TEST_CASE(a_call_that_was_given_up_is_not_delivered_later)
+{
+    constexpr size_t bodyBytes = 32 << 20;
+    int listener = listenOn(port);
+    event_loop loop;
+    http_client client(loop, "127.0.0.1", port, 1);
+    client.call("POST", "/", {}, std::string(bodyBytes, 'x'), 300, [&](const http_response& response) {
+        BOOST_TEST(response.status == 0);
+        loop.after(50, [&] { loop.stop(); });
+    });
+    loop.run();
+    int fd = accept(listener, nullptr, nullptr);
+    BOOST_REQUIRE(fd >= 0);
+    std::vector<char> buffer(1 << 20);
+    ssize_t received = 0;
+    do {
+        received = read(fd, buffer.data(), buffer.size());
+    } while (received > 0);
+    BOOST_TEST(received == -1);
+    BOOST_TEST(errno == ECONNRESET);
+    close(fd);
+    close(listener);
+}
