A write to a connection that the peer has reset does not end the process

Cause: since clients close with a reset, and leader_test, whose loop is client and server in one process, ended with SIGPIPE. The daemons ignored the signal in main; whoever embeds the library did not. Change: the event loop ignores it. Test: leader_test failed (SIGPIPE) and passes, with net_test, worker_calls_test, foreign_answers_test and shutdown_test.

--- a/src/net/net.h
+++ b/src/net/net.h
@@ -31,7 +31,8 @@
     std::string message;
 };
 
-// An event loop on libevent with timers and signal handlers.
+// An event loop on libevent with timers and signal handlers. The process ignores SIGPIPE from its
+// construction on.
 class event_loop {
 public:
     event_loop();
--- a/src/net/process/event_loop.cpp
+++ b/src/net/process/event_loop.cpp
@@ -3,6 +3,8 @@
 
 #include <event2/event.h>
 
+#include <csignal>
+
 namespace camphorwell {
 
 // A timer or signal event and its handler.
@@ -32,6 +34,7 @@
 
 event_loop::event_loop()
 {
+    std::signal(SIGPIPE, SIG_IGN); // A write to a connection that the peer has reset fails instead.
     event_config* config = event_config_new();
     event_config_set_flag(config, EVENT_BASE_FLAG_PRECISE_TIMER);
     // Epoll changes are passed to the kernel once per iteration, without those that cancel each other out.
