The clock in a refusal by another worker tells nothing about a worker's life

What callers saw: nothing yet; found by reading. Cause: a 421 comes from another worker at the address, and its ClockMs is that worker's. If it shows less than the clock of the worker the order was sent to, it was taken for a later life of that one (worker_new_life source=answer), and the 421 did not end the worker's attempts any more: those without an answer were kept until the platform had not listed the worker for 7 s and the longest lease was over. Change: the clock of a 421 is not looked at.

Test: late_start_test, refusal_of_another_worker_at_the_address_is_not_taken_for_a_later_life, failed before (1 start of 2).

--- a/src/jobs/process/cell_incarnations.cpp
+++ b/src/jobs/process/cell_incarnations.cpp
@@ -73,10 +73,13 @@
         + static_cast<ms>(static_cast<double>(now - worker.clockAt) / clockErrorFactor);
 }
 
-// The clock of an incarnation never goes back, and that of a later one begins anew.
+// The clock of an incarnation never goes back, and that of a later one begins anew. A refusal by another
+// worker at the address tells the time on that worker's clock.
 void cell_model::noteClockOfAnswer(
     const worker_id& id, uint32_t incarnation, ms leastClockWorkerMs, const order_answer& answer)
 {
+    if (answer.outcome == order_outcome::other_incarnation)
+        return;
     worker_state* worker = workers.find(id);
     if (worker && worker->incarnation == incarnation && answer.clockWorkerMs
         && *answer.clockWorkerMs < leastClockWorkerMs && !hasFault(cell_fault::end_unanswered_incarnations))
--- a/tests/jobs/late_start_test.cpp
+++ b/tests/jobs/late_start_test.cpp
@@ -277,6 +277,23 @@
     BOOST_TEST(runWithoutWorker(next, earlierLeasesMs + 500).size() == 1);
 }
 
+// The worker is not at that address any more. The other one's clock tells nothing about it.
+BOOST_AUTO_TEST_CASE(refusal_of_another_worker_at_the_address_is_not_taken_for_a_later_life)
+{
+    cell_driver driver;
+    driver.scheduler.addJob("j", singleStepJob(2));
+    driver.scheduler.setWorker(workerRecord("w"), driver.now);
+    driver.scheduler.begin(driver.now, driver.now);
+    driver.runOnce();
+    driver.report("w", {});
+    driver.runOnce();
+    auto starts = driver.take<start_action>();
+    BOOST_REQUIRE(starts.size() == 2);
+    driver.scheduler.setWorker(workerRecord("idle"), driver.now);
+    driver.scheduler.onStarted(starts[0], { order_outcome::other_incarnation, 300 }, driver.now);
+    BOOST_TEST(runWithoutWorker(driver, 500).size() == 2);
+}
+
 BOOST_AUTO_TEST_CASE(record_of_a_workers_life_is_deleted_when_the_worker_is_gone)
 {
     cell_driver driver;
