A worker whose clock was set back does not keep its tasks away for ever

Cause: a worker that has started again is known by its entry or by the clock in its answer to an order, and its attempts are kept until it answers a poll with the raised token. If its wall clock was set back, its reports name an earlier start than the one known and were dropped altogether; as long as the platform listed the worker, the attempts stayed for ever, and the worker was not used. Change: such a report to a poll of the present incarnation counts as the first answer: the worker has accepted the raised token and refuses earlier orders. Nothing else is read from it; the attempts end when the longest lease, counted from then, is over, and the worker is then taken by its own start time, as before.

--- a/src/jobs/process/cell_model.h
+++ b/src/jobs/process/cell_model.h
@@ -476,6 +476,7 @@
     void pollWorker(worker_state&);
     void resendStops(worker_state&);
     void handleNewIncarnation(worker_state&, std::string_view source);
+    void noteFirstAnswer(worker_state&);
     void endAttemptsWithLease(worker_state&);
     void dropLostWorker(worker_state&, std::string_view reason, const std::vector<task_placement>& ended);
     void endAttempts(worker_state&, const std::vector<task_placement>&, std::string_view gangReason);
--- a/src/jobs/process/cell_workers.cpp
+++ b/src/jobs/process/cell_workers.cpp
@@ -450,7 +450,9 @@
         worker.info.startedUnixMs = std::min(worker.info.startedUnixMs, report.startedUnixMs);
     if (report.startedUnixMs != 0 && report.startedUnixMs < worker.info.startedUnixMs) {
         // The report is of an earlier incarnation, or of a later one that started after the worker's clock
-        // was set back. It proves nothing about the attempts.
+        // was set back. It proves nothing about the attempts but that the token of the poll was accepted.
+        if (worker.awaitsFirstAnswer && worker.polledIncarnation == worker.incarnation)
+            noteFirstAnswer(worker);
         countFailedPoll(worker);
         if (worker.failedPolls == 1)
             log(log_line("look_failed").add("worker", worker.info.id).add("outcome", "earlier_start"));
@@ -479,12 +481,8 @@
     if (!worker.hasReported) {
         worker.hasReported = true;
         placingNeeded = true;
-        // Until now the worker accepted orders to its earlier incarnation.
-        if (std::exchange(worker.awaitsFirstAnswer, false) || now <= longLeaseEnd(worker, now)) {
-            worker.newIncarnationAt = now;
-            worker.restoredLongLeases = false;
-            recordLongLeases(worker);
-        }
+        if (worker.awaitsFirstAnswer || now <= longLeaseEnd(worker, now))
+            noteFirstAnswer(worker);
         ms earlierEnd = std::max(earlierLeasesEnd(now), longLeaseEnd(worker, now));
         ms earlierLease = std::min(worstLeaseMs(earlierEnd - now), settings.maxLeaseMs);
         worker.leaseUntilWorkerMs
@@ -513,6 +511,15 @@
     pollWorker(worker);
 }
 
+// Until now the worker accepted orders to its earlier incarnation.
+void cell_model::noteFirstAnswer(worker_state& worker)
+{
+    worker.awaitsFirstAnswer = false;
+    worker.newIncarnationAt = now;
+    worker.restoredLongLeases = false;
+    recordLongLeases(worker);
+}
+
 void cell_model::handleListed(worker_state& worker, const running_task& listedTask, int64_t startedUnixMs)
 {
     step_run* step = findStep(listedTask.task);
--- a/tests/jobs/late_start_test.cpp
+++ b/tests/jobs/late_start_test.cpp
@@ -294,6 +294,32 @@
     BOOST_TEST(runWithoutWorker(driver, 500).size() == 2);
 }
 
+// Its reports are taken for those of an earlier life, but show that it refuses orders to that.
+BOOST_AUTO_TEST_CASE(tasks_do_not_wait_for_ever_for_a_later_life_whose_clock_was_set_back)
+{
+    constexpr ms longestLeaseMs = 6'120; // 6 s of a clock that is 2% slow.
+    for (bool shownByEntry : { false, true }) {
+        cell_driver driver;
+        start_action start = startUnanswered(driver);
+        if (shownByEntry)
+            driver.scheduler.setWorker(entryOfLaterLife(), driver.now);
+        else
+            driver.scheduler.onStarted(start, { order_outcome::done, 300 }, driver.now);
+        worker_report report;
+        report.startedUnixMs = 3;
+        size_t starts = 0;
+        ms shownAt = driver.now;
+        while (driver.now < shownAt + silenceMs) {
+            auto polls = driver.take<poll_action>();
+            if (std::any_of(polls.begin(), polls.end(), [](const auto& poll) { return poll.worker == "w"; }))
+                driver.report("w", report);
+            starts += runWithoutWorker(driver, 20).size();
+            BOOST_TEST((starts == 0 || driver.now > shownAt + longestLeaseMs));
+        }
+        BOOST_TEST(starts == 1);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(record_of_a_workers_life_is_deleted_when_the_worker_is_gone)
 {
     cell_driver driver;
