A call to a worker ends with its timeout, also if its connection opens late

What callers saw: nothing yet; found by reading. Cause: the timeout of evhttp holds for opening a connection and for each wait for bytes anew. A start on a connection that opened after a second ended 2.2 s after it was begun instead of 1.2 s, so 3.2 s with the wait in the queue, and a poll up to 3.8 s. longestOrderDelayMs (2.2 s), from which the end of an unseen life's lease is counted, and minConfirmingClockMs, by which an answer is told from that of a later life, were thus too short for just the orders that reach a worker right after it has started again. Change: clients with a maximum wait, those of workers, end the whole call after its timeout; others are as before. What remains: bytes that the kernel or something between holds when the call is ended may still arrive.

Test: worker_calls_test, start_on_a_connection_that_opens_late_is_given_up_in_time, failed before (2,212 ms; the bound is 1.2 s and 0.3 s).

--- a/src/net/connection/http_client.cpp
+++ b/src/net/connection/http_client.cpp
@@ -4,6 +4,9 @@
 // queue. Connections that the load does not need therefore stay idle and are closed after `idleTimeout`. A
 // connection whose call got no response is closed together with the idle connections that were opened before
 // that call, since the same fault may affect all of them.
+//
+// The timeout of evhttp holds for opening the connection and for each wait for bytes separately. A client
+// with a maximum wait also ends the whole call after it, so that a call's latest end is known.
 #include "net/net.h"
 
 #include <arpa/inet.h>
@@ -151,6 +154,11 @@
             failCall(conn);
             return;
         }
+        if (maxWaitMs != INT64_MAX)
+            loop.after(pending.timeoutMs, [client = weak_from_this(), call = conn->latestCall] {
+                if (auto held = client.lock())
+                    held->endOverdueCall(call);
+            });
         bufferevent* bev = evhttp_connection_get_bufferevent(conn->handle);
         int fd = bev ? bufferevent_getfd(bev) : -1;
         if (fd < 0 || fd == conn->noDelaySocket)
@@ -188,6 +196,18 @@
         client->startWaitingCalls();
     }
 
+    void endOverdueCall(uint64_t call)
+    {
+        auto found = std::find_if(connections.begin(), connections.end(),
+            [&](const auto& candidate) { return candidate->busy && candidate->latestCall == call; });
+        if (found == connections.end())
+            return;
+        connection* overdue = found->get();
+        closeOlderIdle(call);
+        failCall(overdue);
+        startWaitingCalls();
+    }
+
     // Closes the idle connections that were open when the failed call started.
     void closeOlderIdle(uint64_t failedCall)
     {
--- a/src/net/net.h
+++ b/src/net/net.h
@@ -124,9 +124,10 @@
     http_client& operator=(const http_client&) = delete;
 
     // Calls `handler` with the response, possibly before `call` returns, and not at all if the client is
-    // destroyed first. `timeoutMs` does not include the wait for a free connection. A call with a header that
-    // cannot be sent, such as one with a line break, gets no response, nor does one that has waited for
-    // longer than the maximum of the client; it is not sent.
+    // destroyed first. `timeoutMs` does not include the wait for a free connection; it bounds the whole call
+    // if the client has a maximum for that wait, else opening the connection and each wait for bytes. A call
+    // with a header that cannot be sent, such as one with a line break, gets no response, nor does one that
+    // has waited for longer than the maximum of the client; it is not sent.
     void call(const std::string& method, const std::string& path, const header_list&, std::string body,
         int64_t timeoutMs, handler);
 
--- a/tests/platform/worker_calls_test.cpp
+++ b/tests/platform/worker_calls_test.cpp
@@ -2,6 +2,11 @@
 #define BOOST_TEST_MODULE worker_calls
 #include "platform/platform.h"
 
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
 #include <boost/test/unit_test.hpp>
 
 using namespace camphorwell;
@@ -37,6 +42,21 @@
         loop.run();
     }
 
+    // Starts a task at a port that is not the server's, and returns the time until the outcome.
+    int64_t timeOfStartAt(const std::string& other)
+    {
+        auto begin = event_loop::now();
+        int64_t elapsedMs = -1;
+        start_action order { "w", { "5c0e7a21d94b36f8", 0, 0, 0 }, 1,
+            std::make_shared<const std::string>("text"), {}, {}, 1, 0 };
+        workers.start(other, order, 1, [&](const order_answer&) {
+            elapsedMs
+                = std::chrono::duration_cast<std::chrono::milliseconds>(event_loop::now() - begin).count();
+        });
+        runFor(4000);
+        return elapsedMs;
+    }
+
     size_t received(const std::string& path) const
     {
         return static_cast<size_t>(std::count(paths.begin(), paths.end(), path));
@@ -50,8 +70,68 @@
     platform::worker_calls workers { loop };
 };
 
+// A listening socket that accepts connections only after `refill` has taken those that fill its queue, like
+// that of a worker that has just started again: a connection is opened a second after it was tried first.
+struct slow_listener {
+    slow_listener()
+    {
+        descriptor = socket(AF_INET, SOCK_STREAM, 0);
+        int enabled = 1;
+        setsockopt(descriptor, SOL_SOCKET, SO_REUSEADDR, &enabled, sizeof enabled);
+        sockaddr_in place = placeOf();
+        BOOST_REQUIRE(bind(descriptor, reinterpret_cast<sockaddr*>(&place), sizeof place) == 0);
+        BOOST_REQUIRE(listen(descriptor, 0) == 0);
+        for (int i = 0; i < fillers; i++) {
+            opened.push_back(socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0));
+            connect(opened.back(), reinterpret_cast<sockaddr*>(&place), sizeof place);
+        }
+    }
+
+    ~slow_listener()
+    {
+        for (int open : opened)
+            close(open);
+        close(descriptor);
+    }
+
+    static sockaddr_in placeOf()
+    {
+        sockaddr_in out {};
+        out.sin_family = AF_INET;
+        out.sin_port = htons(listenerPort);
+        out.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        return out;
+    }
+
+    void acceptFillers()
+    {
+        for (int accepted; (accepted = accept4(descriptor, nullptr, nullptr, SOCK_NONBLOCK)) >= 0;) {
+            opened.push_back(accepted);
+            if (opened.size() >= 2 * fillers)
+                return;
+        }
+    }
+
+    static constexpr uint16_t listenerPort = 28996;
+    static constexpr int fillers = 1;
+    int descriptor = -1;
+    std::vector<int> opened;
+};
+
 } // namespace
 
+// Its lease is counted from the latest time at which the order may have arrived.
+BOOST_FIXTURE_TEST_CASE(start_on_a_connection_that_opens_late_is_given_up_in_time, silent_worker)
+{
+    constexpr int64_t orderTimeoutMs = 1200;
+    constexpr int64_t slackMs = 300;
+    slow_listener listener;
+    loop.after(500, [&] { listener.acceptFillers(); });
+    int64_t elapsedMs = timeOfStartAt("127.0.0.1:28996");
+    BOOST_TEST(elapsedMs >= orderTimeoutMs);
+    BOOST_TEST(elapsedMs < orderTimeoutMs + slackMs);
+}
+
 // The worker may have lost power meanwhile, and its next life would run the start.
 BOOST_FIXTURE_TEST_CASE(start_queued_behind_a_silent_worker_is_not_sent_later, silent_worker)
 {
