An answer confirms a start only if a later life could not show as late a clock

What callers would see: TWICE; found by reading. Cause: a start was confirmed by an answer if its least clock was 5 s or more, since the report was taken to be two seconds old at most and the call to take 2.2 s at most. A report counts for 2.5 s after its arrival and may have been under way for 1.9 s, so a later life may show 5 s: one that starts again twice within seconds. Its answer was credited to the former life, whose lease was counted instead of MaxHoldMs. Change: the poll that the last report answers was sent before any later life had started, so that life's clock shows at most the time since then. An answer with a later clock is of the life that reported; no constant is needed, and a life confirms starts about 2 s after its start instead of 5 s. The deliberate fault credits each answer, as before.

--- a/src/jobs/process/cell_attempts.cpp
+++ b/src/jobs/process/cell_attempts.cpp
@@ -254,8 +254,7 @@
     worker_state& worker = *attempt->worker;
     if (outcome == order_outcome::done) {
         attempt->startAnsweredAt = now;
-        if (start.incarnation == worker.incarnation && answer.clockWorkerMs
-            && start.leastClockWorkerMs >= cell_model::minConfirmingClockMs)
+        if (start.incarnation == worker.incarnation && m.isOfReportedIncarnation(answer, worker))
             m.confirmAttempt(*attempt, *step, worker.info.startedUnixMs);
         step->tasks[static_cast<size_t>(start.task.index)].lastRanAt = now;
         m.markStarted(*step->job);
--- a/src/jobs/process/cell_incarnations.cpp
+++ b/src/jobs/process/cell_incarnations.cpp
@@ -57,6 +57,18 @@
         && !hasFault(cell_fault::end_unanswered_incarnations);
 }
 
+// A later incarnation has started after the poll was sent that the last report answers, and its clock shows
+// at most the time since then.
+bool cell_model::isOfReportedIncarnation(const order_answer& answer, const worker_state& worker) const
+{
+    if (hasFault(cell_fault::end_unanswered_incarnations))
+        return true;
+    if (!worker.hasReported || !answer.clockWorkerMs)
+        return false;
+    auto sinceMs = static_cast<double>(now - worker.answeredPollSentAt);
+    return static_cast<double>(*answer.clockWorkerMs) > sinceMs * clockErrorFactor;
+}
+
 void cell_model::confirmAttempt(task_attempt& attempt, const step_run& step, int64_t startedUnixMs)
 {
     bool first = std::exchange(attempt.confirmedByStartedUnixMs, startedUnixMs) != startedUnixMs;
--- a/src/jobs/process/cell_model.h
+++ b/src/jobs/process/cell_model.h
@@ -444,10 +444,6 @@
     void releaseFinishedJobs();
 
     // cell_incarnations.cpp
-    // An incarnation that is older when a start is sent shows a later clock in its answer than any
-    // incarnation after it could: the start is answered within `longestOrderDelayMs`, and the report that the
-    // clock was taken from is two seconds old at most.
-    static constexpr ms minConfirmingClockMs = 5000;
     void recordIncarnations(write_batch&);
     void restoreIncarnation(const worker_id&, std::string_view bytes);
     void forgetIncarnation(worker_state&);
@@ -458,6 +454,8 @@
     bool mayStartLate(const worker_state&) const;
     // Whether an incarnation that this leader has not seen may run the attempt.
     bool mayRunUnseen(const task_attempt&) const;
+    // Whether the answer is of the incarnation that sent the last report.
+    bool isOfReportedIncarnation(const order_answer&, const worker_state&) const;
     void confirmAttempt(task_attempt&, const step_run&, int64_t startedUnixMs);
     // The least that the clock of the worker's present incarnation shows now; 0 before its first report.
     ms leastClock(const worker_state&) const;
--- a/tests/jobs/late_start_test.cpp
+++ b/tests/jobs/late_start_test.cpp
@@ -175,6 +175,33 @@
     BOOST_TEST(starts[0].task.job == "k");
 }
 
+// The report was under way for 1.9 s, and the start waited for its connection.
+BOOST_AUTO_TEST_CASE(answer_of_an_unseen_life_that_shows_as_late_a_clock_does_not_confirm_the_start)
+{
+    constexpr ms reportDelayMs = 1'900;
+    constexpr ms longestLeaseMs = 6'000;
+    cell_driver driver;
+    driver.scheduler.setWorker(workerRecord("w"), driver.now);
+    driver.scheduler.begin(driver.now, driver.now);
+    driver.runOnce();
+    driver.now += reportDelayMs;
+    worker_report report;
+    report.startedUnixMs = workerRecord("w").startedUnixMs;
+    report.clockWorkerMs = 2'700;
+    driver.scheduler.onReport("w", report, driver.now - reportDelayMs, driver.now);
+    for (ms end = driver.now + 2'400; driver.now < end;)
+        driver.runOnce();
+    driver.scheduler.addJob("j", singleStepJob(1));
+    driver.runOnce();
+    driver.runOnce();
+    auto starts = driver.take<start_action>();
+    BOOST_REQUIRE(starts.size() == 1);
+    driver.scheduler.setWorker(workerRecord("idle"), driver.now);
+    BOOST_TEST(runWithoutWorker(driver, 1'100).empty());
+    driver.scheduler.onStarted(starts[0], { order_outcome::done, 5'100 }, driver.now);
+    BOOST_TEST(runWithoutWorker(driver, longestLeaseMs).empty());
+}
+
 BOOST_AUTO_TEST_CASE(stop_that_an_unseen_life_has_answered_shows_that_life)
 {
     cell_driver driver;
