The life of a worker is recorded before the tasks that it confirmed

Cause: a record of a lasting task says that the worker's recorded life has confirmed it, and stood before the record of that life in the batch. A batch over the limit of an append is written in parts. If the leader is lost between them, the next one takes the task for one of the former life, counts it as ended at once when it reads the entry of the present life, and starts it elsewhere while it runs. Change: the records of lives come first. The other way round a task of the former life is taken for one of the present life, and ends with that life's first report.

--- a/src/jobs/process/cell_incarnations.cpp
+++ b/src/jobs/process/cell_incarnations.cpp
@@ -19,6 +19,8 @@
 #include "jobs/process/cell_model.h"
 #include "jobs/request/record_writer.h"
 
+#include <algorithm>
+#include <iterator>
 #include <nlohmann/json.hpp>
 
 namespace camphorwell {
@@ -98,9 +100,11 @@
         handleNewIncarnation(*worker, "answer");
 }
 
-// Format: [format, start time of the incarnation in Unix milliseconds, whether it has not answered].
+// Format: [format, start time of the incarnation in Unix milliseconds, whether it has not answered]. A long
+// batch is appended in parts. The records of jobs refer to these, so they come after them.
 void cell_model::recordIncarnations(write_batch& batch)
 {
+    std::vector<progress_record> jobs = std::exchange(batch.records, {});
     for (const worker_id& id : std::exchange(forgottenIncarnations, {}))
         batch.records.push_back({ keyOf(id), {} });
     for (worker_state* worker : workers.all()) {
@@ -115,6 +119,7 @@
         out.array(3).number(recordFormat).number(newest.startedUnixMs).flag(newest.awaitsFirstAnswer);
         batch.records.push_back({ std::move(key), out.take() });
     }
+    std::move(jobs.begin(), jobs.end(), std::back_inserter(batch.records));
 }
 
 // The entry of the worker may have been read before, and be that of another incarnation.
--- a/tests/jobs/late_start_test.cpp
+++ b/tests/jobs/late_start_test.cpp
@@ -46,7 +46,7 @@
     return driver.take<start_action>();
 }
 
-void restoreAll(cell_driver& next, const cell_driver& earlier)
+void restoreAll(cell_driver& next, const cell_driver& earlier, const job_record& job = singleStepJob(1))
 {
     next.now = earlier.now;
     next.scheduler.setClock(next.now, next.now);
@@ -54,7 +54,7 @@
         if (!bytes.empty())
             next.scheduler.restoreProgress(key, bytes);
     }
-    next.scheduler.addJob("j", singleStepJob(1));
+    next.scheduler.addJob("j", job);
     next.scheduler.setEarlierLeases({ next.now + earlierLeasesMs, 0, 0 });
 }
 
@@ -347,6 +347,37 @@
     }
 }
 
+// The later life has listed a lasting task. The records are too long for one append, and the leader is lost
+// after any part of them.
+BOOST_AUTO_TEST_CASE(next_leader_does_not_take_a_task_of_the_present_life_for_one_of_an_earlier_life)
+{
+    job_record lasting = singleStepJob(1);
+    lasting.spec.steps[0].isService = true;
+    cell_driver first;
+    first.scheduler.addJob("j", lasting);
+    first.scheduler.setWorker(workerRecord("w"), first.now);
+    first.scheduler.begin(first.now, first.now);
+    first.runOnce();
+    first.report("w", {});
+    first.runOnce();
+    BOOST_REQUIRE(first.take<start_action>().size() == 1);
+    first.scheduler.setWorker(entryOfLaterLife(), first.now);
+    worker_report report = reportOfLaterLife();
+    report.running.push_back({ { "j", 0, 0, 0 }, 1, "", 10, 0 });
+    first.report("w", report);
+    first.report("w", report);
+    auto batch = first.scheduler.takeWrite(first.now);
+    BOOST_REQUIRE(batch.has_value());
+    for (const auto& record : batch->records) {
+        first.progress[record.key] = record.bytes;
+        cell_driver next;
+        restoreAll(next, first, lasting);
+        next.scheduler.setWorker(entryOfLaterLife(), next.now);
+        begin(next);
+        BOOST_TEST(runWithoutWorker(next, earlierLeasesMs - 500).empty());
+    }
+}
+
 BOOST_AUTO_TEST_CASE(record_of_a_workers_life_is_deleted_when_the_worker_is_gone)
 {
     cell_driver driver;
