--- a/src/jobs/process/cell_incarnations.cpp
+++ b/src/jobs/process/cell_incarnations.cpp
@@ -19,6 +19,8 @@
 #include "jobs/process/cell_model.h"
 #include "jobs/request/record_writer.h"
 
+#include <algorithm>
+#include <iterator>
 #include <nlohmann/json.hpp>
 
 namespace camphorwell {
@@ -57,6 +59,18 @@
         && !hasFault(cell_fault::end_unanswered_incarnations);
 }
 
+// A later incarnation has started after the poll was sent that the last report answers, and its clock shows
+// at most the time since then.
+bool cell_model::isOfReportedIncarnation(const order_answer& answer, const worker_state& worker) const
+{
+    if (hasFault(cell_fault::end_unanswered_incarnations))
+        return true;
+    if (!worker.hasReported || !answer.clockWorkerMs)
+        return false;
+    auto sinceMs = static_cast<double>(now - worker.answeredPollSentAt);
+    return static_cast<double>(*answer.clockWorkerMs) > sinceMs * clockErrorFactor;
+}
+
 void cell_model::confirmAttempt(task_attempt& attempt, const step_run& step, int64_t startedUnixMs)
 {
     bool first = std::exchange(attempt.confirmedByStartedUnixMs, startedUnixMs) != startedUnixMs;
@@ -73,19 +87,24 @@
         + static_cast<ms>(static_cast<double>(now - worker.clockAt) / clockErrorFactor);
 }
 
-// The clock of an incarnation never goes back, and that of a later one begins anew.
+// The clock of an incarnation never goes back, and that of a later one begins anew. A refusal by another
+// worker at the address tells the time on that worker's clock.
 void cell_model::noteClockOfAnswer(
     const worker_id& id, uint32_t incarnation, ms leastClockWorkerMs, const order_answer& answer)
 {
+    if (answer.outcome == order_outcome::other_incarnation)
+        return;
     worker_state* worker = workers.find(id);
     if (worker && worker->incarnation == incarnation && answer.clockWorkerMs
         && *answer.clockWorkerMs < leastClockWorkerMs && !hasFault(cell_fault::end_unanswered_incarnations))
         handleNewIncarnation(*worker, "answer");
 }
 
-// Format: [format, start time of the incarnation in Unix milliseconds, whether it has not answered].
+// Format: [format, start time of the incarnation in Unix milliseconds, whether it has not answered]. A long
+// batch is appended in parts. The records of jobs refer to these, so they come after them.
 void cell_model::recordIncarnations(write_batch& batch)
 {
+    std::vector<progress_record> jobs = std::exchange(batch.records, {});
     for (const worker_id& id : std::exchange(forgottenIncarnations, {}))
         batch.records.push_back({ keyOf(id), {} });
     for (worker_state* worker : workers.all()) {
@@ -100,6 +119,7 @@
         out.array(3).number(recordFormat).number(newest.startedUnixMs).flag(newest.awaitsFirstAnswer);
         batch.records.push_back({ std::move(key), out.take() });
     }
+    std::move(jobs.begin(), jobs.end(), std::back_inserter(batch.records));
 }
 
 // The entry of the worker may have been read before, and be that of another incarnation.
--- a/tests/jobs/late_start_test.cpp
+++ b/tests/jobs/late_start_test.cpp
@@ -46,7 +46,7 @@
     return driver.take<start_action>();
 }
 
-void restoreAll(cell_driver& next, const cell_driver& earlier)
+void restoreAll(cell_driver& next, const cell_driver& earlier, const job_record& job = singleStepJob(1))
 {
     next.now = earlier.now;
     next.scheduler.setClock(next.now, next.now);
@@ -54,7 +54,7 @@
         if (!bytes.empty())
             next.scheduler.restoreProgress(key, bytes);
     }
-    next.scheduler.addJob("j", singleStepJob(1));
+    next.scheduler.addJob("j", job);
     next.scheduler.setEarlierLeases({ next.now + earlierLeasesMs, 0, 0 });
 }
 
@@ -175,6 +175,33 @@
     BOOST_TEST(starts[0].task.job == "k");
 }
 
+// The report was under way for 1.9 s, and the start waited for its connection.
+BOOST_AUTO_TEST_CASE(answer_of_an_unseen_life_that_shows_as_late_a_clock_does_not_confirm_the_start)
+{
+    constexpr ms reportDelayMs = 1'900;
+    constexpr ms longestLeaseMs = 6'000;
+    cell_driver driver;
+    driver.scheduler.setWorker(workerRecord("w"), driver.now);
+    driver.scheduler.begin(driver.now, driver.now);
+    driver.runOnce();
+    driver.now += reportDelayMs;
+    worker_report report;
+    report.startedUnixMs = workerRecord("w").startedUnixMs;
+    report.clockWorkerMs = 2'700;
+    driver.scheduler.onReport("w", report, driver.now - reportDelayMs, driver.now);
+    for (ms end = driver.now + 2'400; driver.now < end;)
+        driver.runOnce();
+    driver.scheduler.addJob("j", singleStepJob(1));
+    driver.runOnce();
+    driver.runOnce();
+    auto starts = driver.take<start_action>();
+    BOOST_REQUIRE(starts.size() == 1);
+    driver.scheduler.setWorker(workerRecord("idle"), driver.now);
+    BOOST_TEST(runWithoutWorker(driver, 1'100).empty());
+    driver.scheduler.onStarted(starts[0], { order_outcome::done, 5'100 }, driver.now);
+    BOOST_TEST(runWithoutWorker(driver, longestLeaseMs).empty());
+}
+
 BOOST_AUTO_TEST_CASE(stop_that_an_unseen_life_has_answered_shows_that_life)
 {
     cell_driver driver;
@@ -277,6 +304,80 @@
     BOOST_TEST(runWithoutWorker(next, earlierLeasesMs + 500).size() == 1);
 }
 
+// The worker is not at that address any more. The other one's clock tells nothing about it.
+BOOST_AUTO_TEST_CASE(refusal_of_another_worker_at_the_address_is_not_taken_for_a_later_life)
+{
+    cell_driver driver;
+    driver.scheduler.addJob("j", singleStepJob(2));
+    driver.scheduler.setWorker(workerRecord("w"), driver.now);
+    driver.scheduler.begin(driver.now, driver.now);
+    driver.runOnce();
+    driver.report("w", {});
+    driver.runOnce();
+    auto starts = driver.take<start_action>();
+    BOOST_REQUIRE(starts.size() == 2);
+    driver.scheduler.setWorker(workerRecord("idle"), driver.now);
+    driver.scheduler.onStarted(starts[0], { order_outcome::other_incarnation, 300 }, driver.now);
+    BOOST_TEST(runWithoutWorker(driver, 500).size() == 2);
+}
+
+// Its reports are taken for those of an earlier life, but show that it refuses orders to that.
+BOOST_AUTO_TEST_CASE(tasks_do_not_wait_for_ever_for_a_later_life_whose_clock_was_set_back)
+{
+    constexpr ms longestLeaseMs = 6'120; // 6 s of a clock that is 2% slow.
+    for (bool shownByEntry : { false, true }) {
+        cell_driver driver;
+        start_action start = startUnanswered(driver);
+        if (shownByEntry)
+            driver.scheduler.setWorker(entryOfLaterLife(), driver.now);
+        else
+            driver.scheduler.onStarted(start, { order_outcome::done, 300 }, driver.now);
+        worker_report report;
+        report.startedUnixMs = 3;
+        size_t starts = 0;
+        ms shownAt = driver.now;
+        while (driver.now < shownAt + silenceMs) {
+            auto polls = driver.take<poll_action>();
+            if (std::any_of(polls.begin(), polls.end(), [](const auto& poll) { return poll.worker == "w"; }))
+                driver.report("w", report);
+            starts += runWithoutWorker(driver, 20).size();
+            BOOST_TEST((starts == 0 || driver.now > shownAt + longestLeaseMs));
+        }
+        BOOST_TEST(starts == 1);
+    }
+}
+
+// The later life has listed a lasting task. The records are too long for one append, and the leader is lost
+// after any part of them.
+BOOST_AUTO_TEST_CASE(next_leader_does_not_take_a_task_of_the_present_life_for_one_of_an_earlier_life)
+{
+    job_record lasting = singleStepJob(1);
+    lasting.spec.steps[0].isService = true;
+    cell_driver first;
+    first.scheduler.addJob("j", lasting);
+    first.scheduler.setWorker(workerRecord("w"), first.now);
+    first.scheduler.begin(first.now, first.now);
+    first.runOnce();
+    first.report("w", {});
+    first.runOnce();
+    BOOST_REQUIRE(first.take<start_action>().size() == 1);
+    first.scheduler.setWorker(entryOfLaterLife(), first.now);
+    worker_report report = reportOfLaterLife();
+    report.running.push_back({ { "j", 0, 0, 0 }, 1, "", 10, 0 });
+    first.report("w", report);
+    first.report("w", report);
+    auto batch = first.scheduler.takeWrite(first.now);
+    BOOST_REQUIRE(batch.has_value());
+    for (const auto& record : batch->records) {
+        first.progress[record.key] = record.bytes;
+        cell_driver next;
+        restoreAll(next, first, lasting);
+        next.scheduler.setWorker(entryOfLaterLife(), next.now);
+        begin(next);
+        BOOST_TEST(runWithoutWorker(next, earlierLeasesMs - 500).empty());
+    }
+}
+
 BOOST_AUTO_TEST_CASE(record_of_a_workers_life_is_deleted_when_the_worker_is_gone)
 {
     cell_driver driver;
