cell_figures tells how long service tasks have waited to run again

The lines did not say how many of them waited, for how long, nor that no worker had room: longest_wait names one task, which was a best-effort task, and is dropped with others when the log is over its limit. Test: order_test, statistics_tell_how_long_a_service_task_has_waited_to_run_again (the members are new).

--- a/src/jobs/process/cell.cpp
+++ b/src/jobs/process/cell.cpp
@@ -168,10 +168,23 @@
         out.cpuReserved += worker->reserved.cpuMilli;
         out.cpuTotal += worker->info.capacity.cpuMilli;
         out.cpuBestEffort += worker->bestEffortCpu;
+        out.cpuShortTasks += worker->shortTaskCpu;
+        if (m_model->usable(*worker))
+            out.largestFreeCpu = std::max(out.largestFreeCpu, worker->freeCapacity().cpuMilli);
         out.runningTasks += static_cast<int64_t>(worker->placements.size());
     }
-    for (const auto& [key, step] : m_model->readySteps)
+    for (const auto& [key, step] : m_model->readySteps) {
         out.waitingTasks += static_cast<int64_t>(step->waiting.size());
+        if (!step->spec->isService)
+            continue;
+        for (int index : step->waiting) {
+            const task_run& task = step->tasks[static_cast<size_t>(index)];
+            if (task.lastAttempt == 0)
+                continue;
+            out.displacedTasks++;
+            out.longestDisplacedMs = std::max(out.longestDisplacedMs, m_model->now - task.waitingSince);
+        }
+    }
     return out;
 }
 
--- a/src/jobs/process/cell.h
+++ b/src/jobs/process/cell.h
@@ -163,7 +163,11 @@
     struct statistics {
         int64_t workers = 0, reachable = 0, jobs = 0, waitingTasks = 0, runningTasks = 0;
         uint64_t interferenceLookups = 0; // Look-ups of interference coefficients by this leader.
-        int64_t cpuReserved = 0, cpuTotal = 0, cpuBestEffort = 0;
+        int64_t cpuReserved = 0, cpuTotal = 0, cpuBestEffort = 0, cpuShortTasks = 0;
+        // Service tasks that wait to run again, and the longest such wait.
+        int64_t displacedTasks = 0;
+        ms longestDisplacedMs = 0;
+        int64_t largestFreeCpu = 0; // Of the workers that can take tasks now.
     };
     statistics collectStatistics() const;
 
--- a/src/scheduler/process/cell_host.cpp
+++ b/src/scheduler/process/cell_host.cpp
@@ -188,6 +188,10 @@
                                 .add("running", statistics.runningTasks)
                                 .add("cpu_booked", statistics.cpuReserved)
                                 .add("cpu_fillers", statistics.cpuBestEffort)
+                                .add("cpu_short", statistics.cpuShortTasks)
+                                .add("displaced", statistics.displacedTasks)
+                                .add("displaced_ms", statistics.longestDisplacedMs)
+                                .add("largest_free_cpu", statistics.largestFreeCpu)
                                 .add("cpu_total", statistics.cpuTotal));
 }
 
--- a/tests/jobs/order_test.cpp
+++ b/tests/jobs/order_test.cpp
@@ -139,6 +139,27 @@
     BOOST_TEST(service.shortTasksDone > 10);
 }
 
+BOOST_AUTO_TEST_CASE(statistics_tell_how_long_a_service_task_has_waited_to_run_again)
+{
+    saturated_service service;
+    service.submit("service", true);
+    for (int i = 0; i < 10 && !service.serviceTaskRuns(); i++)
+        service.iterate();
+    BOOST_REQUIRE(service.serviceTaskRuns());
+    BOOST_TEST(service.scheduler.collectStatistics().displacedTasks == 0);
+    service.replaceWorker();
+    for (int i = 0; i < 1'000 && service.scheduler.collectStatistics().displacedTasks == 0; i++)
+        service.iterate();
+    for (int i = 0; i < 5; i++)
+        service.iterate();
+    cell::statistics statistics = service.scheduler.collectStatistics();
+    BOOST_REQUIRE(!service.serviceTaskRuns());
+    BOOST_TEST(statistics.displacedTasks == 1);
+    BOOST_TEST(statistics.longestDisplacedMs == 100);
+    BOOST_TEST(statistics.cpuShortTasks == 2 * saturated_service::taskCpuMilli);
+    BOOST_TEST(statistics.largestFreeCpu == 0);
+}
+
 // A short task frees its capacity soon, so it does not wait for a service task that arrived just before it.
 BOOST_AUTO_TEST_CASE(short_tasks_precede_a_new_service_task)
 {
