Consolidation leaves capacity to tasks of workers that may be lost

Cause: consolidation stops a task when it finds capacity for it on another worker. It did not count the tasks that need this capacity first: those of workers that do not answer, and those that wait to run again. The moved task then waits behind them; here 500 of them waited in a full service. Class: a decision on free capacity without the demand that is already known. Change: capacity of the targets is first taken for the displaced tasks of the service; if there is not enough, nothing is moved.

Test: consolidation_test, no_task_is_moved_while_tasks_of_silent_workers_need_the_capacity, failed before (two tasks were stopped).

--- a/src/jobs/process/cell_consolidation.cpp
+++ b/src/jobs/process/cell_consolidation.cpp
@@ -7,6 +7,10 @@
 // latency-critical tasks are stopped, one of each step at a time, and placed again on workers that host such
 // tasks already. Placement avoids a cleared worker for latency-critical tasks as long as best-effort tasks
 // use it.
+//
+// A moved task waits behind the tasks of lost workers, which have been away for longer. So tasks that wait to
+// run again, and those on workers that may be lost, get their capacity first, and nothing is moved if there
+// is not enough for them.
 #include "jobs/process/cell_model.h"
 
 #include <algorithm>
@@ -220,6 +224,52 @@
     return true;
 }
 
+// Whether the worker's tasks may soon have to run elsewhere.
+bool cell_model::mayBeLost(const worker_state& worker) const
+{
+    return !worker.listed || !worker.hasReported || worker.info.draining || worker.failedPolls > 0
+        || pollOverdue(worker);
+}
+
+// The service tasks that need capacity elsewhere, now or soon, without those that are being moved.
+std::vector<std::pair<const step_run*, int>> cell_model::displacedTasks(const std::string& service) const
+{
+    std::vector<std::pair<const step_run*, int>> out;
+    auto add = [&](const step_run& step, int index) {
+        const task_run& task = step.tasks[static_cast<size_t>(index)];
+        const queue_policy* policy = policyOf(*step.job);
+        if (step.spec->isService && task.lastAttempt > 0 && !task.moving && policy
+            && policy->service == service)
+            out.emplace_back(&step, index);
+    };
+    for (const auto& [key, step] : readySteps) {
+        for (int index : step->waiting)
+            add(*step, index);
+    }
+    for (const worker_state* worker : workers.all()) {
+        if (!mayBeLost(*worker))
+            continue;
+        for (const task_placement& placement : worker->placements)
+            add(*placement.step, placement.index);
+    }
+    return out;
+}
+
+// Takes capacity for the displaced tasks of the service. Returns whether there was enough.
+bool cell_model::takeTargetCapacityForDisplaced(const std::string& service, consolidation_pool& pool) const
+{
+    auto displaced = displacedTasks(service);
+    int64_t freeCpu = 0;
+    for (const auto& [worker, free] : pool.targets)
+        freeCpu += std::max<int64_t>(0, free.cpuMilli);
+    for (const auto& [step, index] : displaced)
+        freeCpu -= reservationOf(*step->spec).cpuMilli;
+    return freeCpu >= 0 && std::all_of(displaced.begin(), displaced.end(), [&](const auto& entry) {
+        const auto& [step, index] = entry;
+        return takeTargetCapacity(*step, step->tasks[static_cast<size_t>(index)], nullptr, pool) != nullptr;
+    });
+}
+
 // Stops the latency-critical tasks on the worker that may be moved now.
 void cell_model::moveLatencyCriticalTasks(worker_state& worker, size_t maxMoves)
 {
@@ -305,6 +355,8 @@
             if (task.moving)
                 takeTargetCapacity(*step, task, nullptr, pool);
         }
+        if (!takeTargetCapacityForDisplaced(service, pool))
+            pool.targets.clear();
         continueClearing(service, pool, maxMoves);
         clearMoreWorkers(service, pool, maxMoves);
     }
--- a/src/jobs/process/cell_model.h
+++ b/src/jobs/process/cell_model.h
@@ -573,6 +573,9 @@
     resources* takeTargetCapacity(
         const step_run&, const task_run&, const worker_state* from, consolidation_pool&) const;
     bool takeTargetCapacityForAll(const worker_state&, consolidation_pool&) const;
+    bool mayBeLost(const worker_state&) const;
+    std::vector<std::pair<const step_run*, int>> displacedTasks(const std::string& service) const;
+    bool takeTargetCapacityForDisplaced(const std::string& service, consolidation_pool&) const;
     worker_state* chooseWorkerToClear(consolidation_pool&) const;
     void moveLatencyCriticalTasks(worker_state&, size_t maxMoves);
     void releaseUnusedWorkers();
--- a/tests/jobs/consolidation_test.cpp
+++ b/tests/jobs/consolidation_test.cpp
@@ -116,6 +116,33 @@
     }
 }
 
+// The silent workers have eight tasks of two cores, and the others eight cores in all for them.
+BOOST_AUTO_TEST_CASE(no_task_is_moved_while_tasks_of_silent_workers_need_the_capacity)
+{
+    constexpr int workers = 5;
+    busy_service service;
+    for (int i = 0; i < workers; i++)
+        service.addWorker("w" + std::to_string(i));
+    for (int i = 0; i < 4 * workers; i++)
+        service.addLatencyCriticalJob("serving" + std::to_string(i), 1);
+    service.scheduler.begin(service.now, service.now);
+    service.simulate(3'000);
+    // Leaves three tasks on w0 and w1, and two on w2.
+    for (const auto& [id, ended] : std::map<worker_id, size_t> { { "w0", 1 }, { "w1", 1 }, { "w2", 2 } }) {
+        BOOST_REQUIRE(service.reports[id].running.size() == 4);
+        for (size_t i = 0; i < ended; i++)
+            service.scheduler.cancel(service.reports[id].running[i].task.job);
+    }
+    service.simulate(4'000);
+    service.stops.clear();
+    service.silent = { "w3", "w4" };
+    service.simulate(1'000);
+    service.addBestEffortJob(12);
+    service.simulate(9'000);
+    for (const auto& [task, count] : service.stops)
+        BOOST_ERROR(task << " was stopped");
+}
+
 BOOST_AUTO_TEST_CASE(no_task_is_moved_for_best_effort_tasks_that_wait_for_a_label)
 {
     busy_service service;
