Soak of shape recut: workers restart under their ids and are cut off soon after

All checks of the observer hold with their bounds. Callers cancel nothing during the run, since a cut of 20 s holds orders for longer than the bound on cancels allows for.

--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -4,6 +4,7 @@
 // A request may be carried out long after it was sent: its instance was stopped, or the store was slow. A
 // repeated submission is recognised for `keepSeconds`, so these delays together stay below it.
 #include "tests/soak/observer.h"
+#include "tests/soak/recut_plan.h"
 
 #include <algorithm>
 #include <csignal>
@@ -29,6 +30,7 @@
 constexpr int64_t maxPowerOffMs = 3000; // Of instances.
 constexpr int64_t finishMs = 25'000; // Jobs are over this long after the last fault.
 constexpr int aniversaWorkers = 66;
+constexpr int recutWorkers = 15;
 constexpr int64_t earlyServicesMs = 2500;
 constexpr int stateAsks = 12;
 constexpr size_t connectionsPerInstance = 32;
@@ -38,7 +40,7 @@
 
 int64_t nowMs() { return std::chrono::duration_cast<milliseconds>(event_loop::now()).count(); }
 
-enum class soak_shape : uint8_t { mixed, aniversa };
+enum class soak_shape : uint8_t { mixed, aniversa, recut };
 
 enum class zoned_fault : uint8_t {
     workers_off,
@@ -74,6 +76,7 @@
     int64_t maxRepeatMs = 0; // Submissions are repeated within this time after they were accepted.
     int64_t readBytes = 0; // Bound on a read; 0: the platform's.
     std::vector<planned_fault> faults; // Besides those that are drawn during the run.
+    std::vector<planned_recut> recuts;
 };
 
 // Groups of faults at almost the same moment. Two kinds are in every run.
@@ -116,8 +119,31 @@
     return plan;
 }
 
+// Long tasks on workers that return under their ids and are cut off soon after.
+soak_plan recutPlan(uint64_t seed)
+{
+    std::mt19937_64 random(seed);
+    soak_plan plan;
+    plan.shape = soak_shape::recut;
+    plan.instances = 3 + static_cast<int>(random() % 2);
+    plan.workers = recutWorkers;
+    plan.zones = { "north", "south", "west" };
+    plan.maxLeaseMs = 10'000;
+    plan.heartbeatMs = 1500;
+    plan.keepSeconds = 14;
+    plan.submitTries = 3;
+    plan.earlyServices = 3;
+    plan.maxStopMs = maxLeaderTroubleMs;
+    plan.maxRepeatMs = 3000;
+    plan.durationMs = static_cast<int64_t>(30'000 + random() % 10'000);
+    plan.recuts = planRecuts(random, plan.durationMs, plan.zones, plan.workers);
+    return plan;
+}
+
 soak_plan planOf(soak_shape shape, uint64_t seed)
 {
+    if (shape == soak_shape::recut)
+        return recutPlan(seed);
     if (shape == soak_shape::aniversa)
         return aniversaPlan(seed);
     std::mt19937_64 random(seed);
@@ -169,10 +195,17 @@
             if (m_plan.earlyServices)
                 submitEarlyServices();
             submitNew();
-            if (m_plan.shape == soak_shape::aniversa)
-                scheduleZonedFaults();
-            else
+            switch (m_plan.shape) {
+            case soak_shape::mixed:
                 scheduleFault();
+                break;
+            case soak_shape::aniversa:
+                scheduleZonedFaults();
+                break;
+            case soak_shape::recut:
+                scheduleRecuts();
+                break;
+            }
             runFor(m_plan.durationMs);
             finish();
         }
@@ -238,10 +271,17 @@
     {
         if (!m_taking)
             return;
-        if (m_plan.shape == soak_shape::aniversa)
-            submitWithSteps();
-        else
+        switch (m_plan.shape) {
+        case soak_shape::mixed:
             submitOneStep();
+            break;
+        case soak_shape::aniversa:
+            submitWithSteps();
+            break;
+        case soak_shape::recut:
+            submitLong();
+            break;
+        }
         m_loop.after(between(10, 120), [this] { submitNew(); });
     }
 
@@ -320,6 +360,18 @@
         submitJob(id, job, payload, json::array({ step }));
     }
 
+    // Two in three of the tasks are long.
+    void submitLong()
+    {
+        std::string id = nextId();
+        tracked_job& job = m_observer.jobs[id];
+        job.tasks = static_cast<int>(between(1, 2));
+        json step { { "Count", job.tasks }, { "Cpu", 200 }, { "MemMb", 50 } };
+        std::string payload
+            = "work_ms=" + std::to_string(chance(66) ? between(5000, 20'000) : between(100, 900));
+        submitJob(id, job, payload, json::array({ step }));
+    }
+
     void submit(const submission_ptr& sent)
     {
         sent->triesLeft--;
@@ -348,7 +400,9 @@
         job.acceptedAt = nowMs();
         if (chance(30))
             m_loop.after(between(1, m_plan.maxRepeatMs), [this, sent] { repeat(sent); });
-        if (chance(job.kind == job_kind::service && m_plan.shape == soak_shape::mixed ? 60 : 6))
+        // An order that is held by the longest cut is carried out later than the bound on cancels allows for.
+        if (m_plan.shape != soak_shape::recut
+            && chance(job.kind == job_kind::service && m_plan.shape == soak_shape::mixed ? 60 : 6))
             m_loop.after(between(1, 4000), [this, sent] { cancel(sent->id); });
         askState(sent, stateAsks);
     }
@@ -437,6 +491,50 @@
         }
     }
 
+    void scheduleRecuts()
+    {
+        for (const planned_recut& recut : m_plan.recuts)
+            m_loop.after(recut.atMs, [this, recut] { injectRecut(recut); });
+    }
+
+    void injectRecut(const planned_recut& recut)
+    {
+        m_faults++;
+        json affected = recut.zone.empty() ? json { { "workers", pickWorkers(recut.workers) } }
+                                           : json { { "zone", recut.zone } };
+        json powerOff = affected;
+        powerOff.update({ { "worker_fault", "power_off" }, { "for_ms", recut.offMs },
+            { "entry_lag_ms", recut.entryLagMs } });
+        setPlatform(powerOff, recut.offMs + recut.entryLagMs);
+        m_loop.after(recut.offMs + recut.cutAfterMs, [this, affected, recut] {
+            json cut = affected;
+            cut.update({ { "worker_fault", "cut_off" }, { "for_ms", recut.cutMs } });
+            setPlatform(cut, recut.cutMs);
+        });
+        m_loop.after(recut.troubleAfterMs, [this, recut] { troubleLeader(recut); });
+    }
+
+    void troubleLeader(const planned_recut& recut)
+    {
+        std::string leader = m_deployment.leader();
+        if (!m_taking || leader.empty() || m_states[leader] != instance_state::up)
+            return;
+        switch (recut.trouble) {
+        case leader_trouble::none:
+            return;
+        case leader_trouble::frozen:
+            return freezeInstance(leader, recut.troubleMs);
+        case leader_trouble::killed:
+            return killInstance(leader, recut.troubleMs);
+        case leader_trouble::replaced:
+            return terminateInstance(leader);
+        case leader_trouble::cut_from_store:
+            return setPlatform(
+                { { "store_cut", m_deployment.zoneOf(leader) }, { "for_ms", recut.troubleMs } },
+                recut.troubleMs);
+        }
+    }
+
     // The workers that remain have room for all tasks.
     void loseWorkersForGood()
     {
@@ -523,32 +621,40 @@
 
     void disturbInstance(const std::string& name)
     {
-        int64_t now = nowMs();
         int64_t pause = between(200, 3000);
         switch (between(1, 3)) {
         case 1:
             return killInstance(name, pause);
         case 2:
-            pause = between(200, m_plan.maxStopMs);
-            trace("stop " + name + " for " + std::to_string(pause));
-            m_deployment.signal(name, SIGSTOP);
-            m_states[name] = instance_state::stopped;
-            m_observer.addDisturbance(now, now + pause);
-            m_loop.after(pause, [this, name] {
-                trace("continue " + name);
-                m_deployment.signal(name, SIGCONT);
-                m_states[name] = instance_state::up;
-            });
-            return;
+            return freezeInstance(name, between(200, m_plan.maxStopMs));
         default:
-            trace("terminate " + name);
-            m_deployment.signal(name, SIGTERM);
-            m_states[name] = instance_state::terminating;
-            m_observer.addDisturbance(now, now + graceMs);
-            return watchTermination(name, now + graceMs);
+            return terminateInstance(name);
         }
     }
 
+    void freezeInstance(const std::string& name, int64_t pauseMs)
+    {
+        trace("stop " + name + " for " + std::to_string(pauseMs));
+        m_deployment.signal(name, SIGSTOP);
+        m_states[name] = instance_state::stopped;
+        m_observer.addDisturbance(nowMs(), nowMs() + pauseMs);
+        m_loop.after(pauseMs, [this, name] {
+            trace("continue " + name);
+            m_deployment.signal(name, SIGCONT);
+            m_states[name] = instance_state::up;
+        });
+    }
+
+    void terminateInstance(const std::string& name)
+    {
+        int64_t until = nowMs() + graceMs;
+        trace("terminate " + name);
+        m_deployment.signal(name, SIGTERM);
+        m_states[name] = instance_state::terminating;
+        m_observer.addDisturbance(nowMs(), until);
+        watchTermination(name, until);
+    }
+
     void watchTermination(const std::string& name, int64_t until)
     {
         m_loop.after(50, [this, name, until] {
@@ -678,11 +784,13 @@
             count = std::stoull(optarg);
         } else if (optionCode == 's' && optarg == std::string("aniversa")) {
             shape = soak_shape::aniversa;
+        } else if (optionCode == 's' && optarg == std::string("recut")) {
+            shape = soak_shape::recut;
         } else if (optionCode == 'p') {
             port = static_cast<uint16_t>(std::stoi(optarg));
         } else {
-            std::cerr << "usage: camphorwell-soak [--from SEED] [--count N] [--shape aniversa] [--port "
-                         "FIRST_PORT]\n";
+            std::cerr << "usage: camphorwell-soak [--from SEED] [--count N] [--shape aniversa|recut] "
+                         "[--port FIRST_PORT]\n";
             return 2;
         }
     }
