--- a/standins/fleet_options.cpp
+++ b/standins/fleet_options.cpp
@@ -9,6 +9,8 @@
 
 namespace {
 
+    constexpr int workersPerRack = 8;
+
     std::vector<std::string> splitNames(const std::string& text)
     {
         std::vector<std::string> out;
@@ -62,4 +64,18 @@
         { "Limits", { { "MaxBodyBytes", 65536 } } } };
 }
 
+worker_record recordOfWorker(const standin_options& options, const std::string& host, int number)
+{
+    worker_record out;
+    out.id = "worker-" + std::to_string(number);
+    out.address = host + ":" + std::to_string(options.port + 1 + number);
+    out.service = "service";
+    size_t zone = static_cast<size_t>(number) * options.zones.size();
+    out.dataCentre = options.zones[zone / static_cast<size_t>(options.workers)];
+    out.rack = out.dataCentre + "-r" + std::to_string(number / workersPerRack);
+    out.labels = { "a", out.rack };
+    out.capacity = { 8000, 16000, 0, 0 };
+    return out;
+}
+
 } // namespace camphorwell::fleet
--- a/standins/fleet_options.h
+++ b/standins/fleet_options.h
@@ -1,4 +1,14 @@
-// Command line of camphorwell-standin-fleet.
+// Command line, configuration, workers and faults of camphorwell-standin-fleet.
+//
+// Its faults, as fields of POST /admin:
+//   worker_fault   "power_off": tasks end, and the worker returns as a new incarnation under the same id.
+//                  Connections from before are lost, and new ones reach that incarnation (power_gate.h);
+//                  "cut_off": the worker goes on, and carries out late what it is sent, also what the caller
+//                  has given up on
+//   workers, zone  ids of the workers that it affects, or their zone; they are silent meanwhile
+//   entry_lag_ms   time from the return of the power until the new incarnation can write its entry
+//   store_cut      a zone; calls on the zone's port of the store are neither done nor answered
+//   for_ms         how long the fault lasts (default: for good)
 #pragma once
 
 #include "jobs/jobs.h"
@@ -19,5 +29,7 @@
 standin_options parseOptions(int argc, char** argv);
 // The operator's configuration: the queues quick and batch of `host`.
 nlohmann::json configurationFor(const std::string& host);
+// The record of a worker, counted from 0, whose port follows that of the store and of the workers before it.
+worker_record recordOfWorker(const standin_options&, const std::string& host, int number);
 
 } // namespace camphorwell::fleet
