--- a/standins/fleet_options.h
+++ b/standins/fleet_options.h
@@ -1,5 +1,9 @@
 // Command line, configuration, workers and faults of camphorwell-standin-fleet.
 //
+// The configuration has one service and two queues of the host --host, quick at /quick/ and batch at /batch/.
+// A task runs for the milliseconds that its payload asks for ("work_ms=300"), and fails if the payload
+// contains "fail".
+//
 // Its faults, as fields of POST /admin:
 //   worker_fault   "power_off": tasks end, and the worker returns as a new incarnation under the same id.
 //                  Connections from before are lost, and new ones reach that incarnation (power_gate.h);
@@ -26,6 +30,8 @@
     ms heartbeatMs = 500;
 };
 
+constexpr const char* usage = "usage: camphorwell-standin-fleet --port PORT [--workers N] [--host NAME]\n"
+                              "           [--zones NAME,...] [--max-lease-ms N] [--heartbeat-ms N]\n";
 standin_options parseOptions(int argc, char** argv);
 // The operator's configuration: the queues quick and batch of `host`.
 nlohmann::json configurationFor(const std::string& host);
