A second takeover does not count what an earlier leader left anew

Cause: each leader counted the leases of earlier leaders, and starts that a life nobody has seen may run, from its own takeover, also on workers that the leader before it had never reached. Claims state that leader's own bounds, which hold for workers that it has granted a lease.

Change: 0.8 s after its takeover a leader records the workers with attempts that have not reported to it, with the token of its takeover, and its claims state the recent takeovers: when they began, and the bounds on the leases before them. The next leader takes these bounds for workers that are recorded as unreached.

--- a/src/jobs/jobs.h
+++ b/src/jobs/jobs.h
@@ -211,6 +211,16 @@
     ms endAt = 0;
     ms quorumMs = 0;
     ms longestEndAt = 0;
+    bool operator==(const earlier_leases&) const = default;
+};
+
+// A takeover of a cell, in the clock of the present leader. It bounds what leaders before it have left on a
+// worker that no leader has reached since.
+struct cell_takeover {
+    uint64_t token = 0; // Of the leader that took the cell over; identifies the takeover.
+    ms beganAt = 0; // Leaders before it have sent no order later than this.
+    earlier_leases leases;
+    bool operator==(const cell_takeover&) const = default;
 };
 
 struct start_action {
--- a/src/jobs/process/cell.cpp
+++ b/src/jobs/process/cell.cpp
@@ -81,6 +81,12 @@
 
 void cell::setSettings(const cell_settings& settings) { m_model->settings = settings; }
 void cell::setEarlierLeases(const earlier_leases& leases) { m_model->earlierLeases = leases; }
+void cell::setTakeovers(uint64_t token, std::vector<cell_takeover> earlier)
+{
+    m_model->token = token;
+    m_model->takeovers = std::move(earlier);
+}
+
 void cell::setRenewedAt(ms sentAt) { m_model->renewedAt = sentAt; }
 bool cell::fenced() const { return m_model->fenced; }
 
@@ -102,6 +108,7 @@
             m_model->log(log_line("job_without_progress").add("id", id).add("age_ms", now - job->acceptedAt));
     }
     m_model->endAttemptsOfEarlierIncarnations();
+    m_model->noteUnreachedWorkers();
     m_model->placingNeeded = true;
 }
 
--- a/src/jobs/process/cell.h
+++ b/src/jobs/process/cell.h
@@ -97,6 +97,9 @@
     // Must precede `begin`. Unless it is called, leases of earlier leaders are taken to last as long as the
     // worker accepts, from the beginning on.
     void setEarlierLeases(const earlier_leases&);
+    // The token of this leader, and the takeovers before its own. Must precede `begin`. Unless it is called,
+    // bounds on what earlier leaders left are counted from the beginning on.
+    void setTakeovers(uint64_t token, std::vector<cell_takeover> earlier);
     // Starts scheduling, once the recorded state is restored.
     void begin(ms now, int64_t unixMs);
 
--- a/src/jobs/process/cell_incarnations.cpp
+++ b/src/jobs/process/cell_incarnations.cpp
@@ -36,6 +36,9 @@
     // lists it again within two seconds. A task of a lost worker waits for the sum of both times.
     constexpr ms goneAfterMs = 7000;
 
+    // How long after a takeover workers that have not reported are recorded.
+    constexpr ms unreachedDelayMs = 800;
+
     std::string keyOf(const worker_id& id) { return std::string(cell::incarnationKeyPrefix).append(id); }
 
 } // namespace
@@ -55,7 +58,7 @@
 {
     if (!attempt.startSent || attempt.confirmedByStartedUnixMs != 0)
         return false;
-    ms sentAt = std::max(attempt.worker->leaseSentAt, beganAt);
+    ms sentAt = std::max(attempt.worker->leaseSentAt, earlierOrdersEnd(*attempt.worker));
     return now <= sentAt + longestOrderDelayMs + worstLeaseMs(settings.maxLeaseMs)
         && !hasFault(cell_fault::end_unanswered_incarnations);
 }
@@ -101,23 +104,37 @@
         handleNewIncarnation(*worker, "answer");
 }
 
-// Format: [format, start time of the incarnation in Unix milliseconds, whether it has not answered]. A long
-// batch is appended in parts. The records of jobs refer to these, so they come after them.
+// Format: [format, start time of the incarnation in Unix milliseconds, whether it has not answered, token of
+// the takeover since which it was not reached]. The last field is left out if it is 0. A long batch is
+// appended in parts. The records of jobs refer to these, so they come after them.
 void cell_model::recordIncarnations(write_batch& batch)
 {
+    reachChanged = false;
     std::vector<progress_record> jobs = std::exchange(batch.records, {});
     for (const worker_id& id : std::exchange(forgottenIncarnations, {}))
         batch.records.push_back({ keyOf(id), {} });
     for (worker_state* worker : workers.all()) {
-        recorded_incarnation newest { worker->info.startedUnixMs, worker->awaitsFirstAnswer };
-        if (worker->placements.empty() || newest.startedUnixMs == 0 || newest == worker->recordedIncarnation)
+        recorded_incarnation newest { worker->info.startedUnixMs, worker->awaitsFirstAnswer,
+            worker->unreachedSince };
+        if (worker->unreachedSince != 0 && worker->unreachedSince == token && !unreachedRecorded)
+            newest.unreachedSince = worker->recordedIncarnation.unreachedSince;
+        bool needed = !worker->placements.empty()
+            || newest.unreachedSince != worker->recordedIncarnation.unreachedSince;
+        if (!needed || newest.startedUnixMs == 0 || newest == worker->recordedIncarnation)
             continue;
         std::string key = keyOf(worker->info.id);
         if (key.size() > maxKeyBytes)
             continue;
         worker->recordedIncarnation = newest;
+        if (newest.unreachedSince != 0)
+            worker->mayBeRecordedUnreached = true;
+        else if (worker->mayBeRecordedUnreached)
+            writingReached.push_back(worker->info.id);
         record_writer out;
-        out.array(3).number(recordFormat).number(newest.startedUnixMs).flag(newest.awaitsFirstAnswer);
+        out.array(newest.unreachedSince != 0 ? 4 : 3).number(recordFormat);
+        out.number(newest.startedUnixMs).flag(newest.awaitsFirstAnswer);
+        if (newest.unreachedSince != 0)
+            out.number(static_cast<int64_t>(newest.unreachedSince));
         batch.records.push_back({ std::move(key), out.take() });
     }
     std::move(jobs.begin(), jobs.end(), std::back_inserter(batch.records));
@@ -133,7 +150,10 @@
         return;
     }
     worker_state& worker = findOrAddWorker(id);
-    worker.recordedIncarnation = { row[1].get<int64_t>(), row[2].get<bool>() };
+    uint64_t unreachedSince = row.size() > 3 && row[3].is_number_unsigned() ? row[3].get<uint64_t>() : 0;
+    worker.recordedIncarnation = { row[1].get<int64_t>(), row[2].get<bool>(), unreachedSince };
+    worker.unreachedSince = unreachedSince;
+    worker.mayBeRecordedUnreached = unreachedSince != 0;
     int64_t recorded = worker.recordedIncarnation.startedUnixMs;
     if (worker.info.startedUnixMs <= recorded) {
         worker.info.startedUnixMs = recorded;
@@ -171,4 +191,45 @@
         forgottenIncarnations.push_back(worker.info.id);
 }
 
+const cell_takeover* cell_model::takeoverBefore(const worker_state& worker) const
+{
+    if (worker.unreachedSince == 0)
+        return nullptr;
+    auto found = std::find_if(takeovers.begin(), takeovers.end(),
+        [&](const cell_takeover& takeover) { return takeover.token == worker.unreachedSince; });
+    return found == takeovers.end() ? nullptr : &*found;
+}
+
+ms cell_model::earlierOrdersEnd(const worker_state& worker) const
+{
+    const cell_takeover* takeover = takeoverBefore(worker);
+    return takeover ? takeover->beganAt : beganAt;
+}
+
+// A worker that an earlier leader has not reached since its takeover keeps that one's token while the
+// takeover is known.
+void cell_model::noteUnreachedWorkers()
+{
+    for (worker_state* worker : workers.all()) {
+        if (!worker->placements.empty() && !takeoverBefore(*worker))
+            worker->unreachedSince = token;
+    }
+}
+
+// Most workers report at once, so only the others are recorded.
+void cell_model::recordUnreachedWorkers()
+{
+    if (unreachedRecorded || token == 0 || now - beganAt < unreachedDelayMs)
+        return;
+    unreachedRecorded = true;
+    reachChanged |= std::any_of(workers.all().begin(), workers.all().end(),
+        [&](const worker_state* worker) { return worker->unreachedSince == token; });
+}
+
+void cell_model::noteReached(worker_state& worker)
+{
+    worker.unreachedSince = 0;
+    reachChanged |= worker.mayBeRecordedUnreached;
+}
+
 } // namespace camphorwell
--- a/src/jobs/process/cell_model.h
+++ b/src/jobs/process/cell_model.h
@@ -203,6 +203,7 @@
 struct recorded_incarnation {
     int64_t startedUnixMs = 0; // 0: nothing is recorded.
     bool awaitsFirstAnswer = false;
+    uint64_t unreachedSince = 0; // As worker_state::unreachedSince.
     bool operator==(const recorded_incarnation&) const = default;
 };
 
@@ -251,6 +252,10 @@
     // The present incarnation has not answered a poll with the token that refuses orders to an earlier one.
     bool awaitsFirstAnswer = false;
     recorded_incarnation recordedIncarnation;
+    // Token of the leader since whose takeover no leader has had a report of the worker; 0: this one has, or
+    // the worker had no attempts.
+    uint64_t unreachedSince = 0;
+    bool mayBeRecordedUnreached = false; // A record that says so may be the newest one in the store.
     bool hasLongLeases = false; // An attempt on it has task_attempt::longLease.
     bool restoredLongLeases = false; // An earlier leader recorded such an attempt.
     bool pollInFlight = false;
@@ -384,6 +389,11 @@
     ms renewedAt = 0; // When the last successful renewal of the leadership was sent.
     ms quorumAnsweredSince = 0; // See lease_terms::quorumMs; 0: not known.
     std::optional<earlier_leases> earlierLeases;
+    uint64_t token = 0; // Of this leader; 0: not known.
+    std::vector<cell_takeover> takeovers; // That precede the one of this leader.
+    bool reachChanged = false; // A worker's record is to be written for `unreachedSince`.
+    bool unreachedRecorded = false; // Workers that did not report soon after the takeover are recorded.
+    std::vector<worker_id> writingReached; // Workers that the append in flight records as reached.
     ms majorityReportedAt = 0; // When half of the workers had reported to this leader; 0: not yet.
     size_t mostWorkersInUse = 0; // Largest result of `countWorkersInUse` until then.
     bool fenced = false;
@@ -447,6 +457,12 @@
     void recordIncarnations(write_batch&);
     void restoreIncarnation(const worker_id&, std::string_view bytes);
     void forgetIncarnation(worker_state&);
+    void noteUnreachedWorkers();
+    void recordUnreachedWorkers();
+    void noteReached(worker_state&);
+    // The takeover since which no leader has reached the worker; null: this leader's, or it is not known.
+    const cell_takeover* takeoverBefore(const worker_state&) const;
+    ms earlierOrdersEnd(const worker_state&) const; // No earlier leader has sent the worker an order since.
     // Whether the incarnation that is recorded for its worker has confirmed the attempt.
     static bool isConfirmedByRecordedIncarnation(const task_attempt&);
     void endAttemptsOfEarlierIncarnations();
@@ -490,7 +506,7 @@
     // Whether the worker may hold a lease beyond what this leader grants, as after a restart.
     bool leaseIsLong(const worker_state&) const;
     ms startLeaseEnd(const worker_state&) const; // In the worker's clock.
-    ms earlierLeasesEnd(ms lastQuorumAt) const;
+    ms earlierLeasesEnd(const worker_state&, ms lastQuorumAt) const;
     ms longLeaseEnd(const worker_state&, ms lastQuorumAt) const;
     void recordLongLeases(worker_state&);
     void expireLongLeases(worker_state&);
--- a/src/jobs/process/cell_progress.cpp
+++ b/src/jobs/process/cell_progress.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
+#include <utility>
 
 namespace camphorwell {
 
@@ -258,12 +259,13 @@
     writingJobs.swap(dirty);
     dirty.clear();
     forgetJobs(batch);
+    if (reachChanged || !batch.records.empty())
+        recordIncarnations(batch);
     if (batch.records.empty()) {
         for (worker_state* worker : workers.all())
             worker->acknowledgedSequence = worker->processedSequence;
         return std::nullopt;
     }
-    recordIncarnations(batch);
     writingStarts.swap(plannedStarts);
     plannedStarts.clear();
     if (hasFault(cell_fault::start_without_record))
@@ -296,6 +298,11 @@
     for (auto& [worker, number] : writingCompletions)
         worker->acknowledgedSequence
             = std::max(worker->acknowledgedSequence, std::min(number, worker->processedSequence));
+    for (const worker_id& id : std::exchange(writingReached, {})) {
+        worker_state* worker = workers.find(id);
+        if (worker && worker->recordedIncarnation.unreachedSince == 0)
+            worker->mayBeRecordedUnreached = false;
+    }
     sendRecordedStarts();
     for (job_run* job : writingJobs) {
         // A job that changed after it was encoded is dirty again and part of the next append.
--- a/src/jobs/process/cell_workers.cpp
+++ b/src/jobs/process/cell_workers.cpp
@@ -148,6 +148,7 @@
     dropUnlistedWorkers();
     updateQuorum();
     updateMajority();
+    recordUnreachedWorkers();
     for (worker_state* worker : workers.all()) {
         if (!worker->placements.empty() && leaseExpired(*worker))
             endAttemptsWithLease(*worker);
@@ -184,8 +185,9 @@
         if (renewalOverdue())
             poll.waitMs = std::min(
                 poll.waitMs, std::max(overdueRenewalPollWaitMs, perWorker / maxOverduePollsPerSecond));
-        // The lease of a worker that does not answer is not extended, so that its end is known.
-        if (leaseLength() > 0 && worker.failedPolls == 0) {
+        // The lease of a worker that does not answer is not extended, so that its end is known. The next
+        // leader must not take a worker with a lease of this one for unreached.
+        if (leaseLength() > 0 && worker.failedPolls == 0 && !worker.mayBeRecordedUnreached) {
             poll.leaseUntilWorkerMs = worker.workerNow(now) + leaseLength();
             worker.leaseUntilWorkerMs = std::max(worker.leaseUntilWorkerMs, *poll.leaseUntilWorkerMs);
             worker.leaseSentAt = now;
@@ -280,7 +282,8 @@
     if (mayStartLate(worker))
         return false;
     if (worker.reportedAt == 0)
-        return now > std::max(earlierLeasesEnd(majorityReportedAt), longLeaseEnd(worker, majorityReportedAt));
+        return now > std::max(
+                   earlierLeasesEnd(worker, majorityReportedAt), longLeaseEnd(worker, majorityReportedAt));
     ms remaining = std::max<ms>(0, worker.leaseUntilWorkerMs - worker.clockWorkerMs);
     return now - worker.clockAt > worstLeaseMs(remaining);
 }
@@ -290,16 +293,18 @@
     return worker.leaseUntilWorkerMs - worker.workerNow(now) > settings.leaseTerms.renewalMs;
 }
 
-// When the leases of earlier leaders have ended. None of them has had a quorum after `lastQuorumAt`; 0: not
-// known.
-ms cell_model::earlierLeasesEnd(ms lastQuorumAt) const
+// When the leases of earlier leaders on the worker have ended. None of these leaders has had a quorum after
+// `lastQuorumAt`; 0: not known.
+ms cell_model::earlierLeasesEnd(const worker_state& worker, ms lastQuorumAt) const
 {
     if (!earlierLeases)
         return beganAt + worstLeaseMs(settings.maxLeaseMs);
-    ms quorumEnd = earlierLeases->longestEndAt;
+    const cell_takeover* takeover = takeoverBefore(worker);
+    const earlier_leases& leases = takeover ? takeover->leases : *earlierLeases;
+    ms quorumEnd = leases.longestEndAt;
     if (lastQuorumAt != 0)
-        quorumEnd = std::min(quorumEnd, lastQuorumAt + earlierLeases->quorumMs);
-    ms end = std::max(earlierLeases->endAt, quorumEnd);
+        quorumEnd = std::min(quorumEnd, lastQuorumAt + leases.quorumMs);
+    ms end = std::max(leases.endAt, quorumEnd);
     if (hasFault(cell_fault::count_longest_leases))
         return beganAt + longestGrantWindowMs + worstLeaseMs(settings.maxLeaseMs);
     return hasFault(cell_fault::count_short_leases) ? end - settings.maxLeaseMs / 2 : end;
@@ -310,7 +315,8 @@
 {
     ms longestMs = worstLeaseMs(settings.maxLeaseMs);
     ms end = worker.newIncarnationAt == 0 ? 0 : worker.newIncarnationAt + longestMs;
-    return worker.restoredLongLeases ? std::max(end, earlierLeasesEnd(lastQuorumAt) + longestMs) : end;
+    return worker.restoredLongLeases ? std::max(end, earlierLeasesEnd(worker, lastQuorumAt) + longestMs)
+                                     : end;
 }
 
 void cell_model::recordLongLeases(worker_state& worker)
@@ -483,7 +489,7 @@
         placingNeeded = true;
         if (worker.awaitsFirstAnswer || now <= longLeaseEnd(worker, now))
             noteFirstAnswer(worker);
-        ms earlierEnd = std::max(earlierLeasesEnd(now), longLeaseEnd(worker, now));
+        ms earlierEnd = std::max(earlierLeasesEnd(worker, now), longLeaseEnd(worker, now));
         ms earlierLease = std::min(worstLeaseMs(earlierEnd - now), settings.maxLeaseMs);
         worker.leaseUntilWorkerMs
             = std::max(worker.leaseUntilWorkerMs, report.clockWorkerMs + std::max<ms>(0, earlierLease));
@@ -492,6 +498,7 @@
                 .add("running", static_cast<int64_t>(report.running.size()))
                 .add("lease_ms", worker.leaseUntilWorkerMs - report.clockWorkerMs));
     }
+    noteReached(worker);
     worker.reportCount++;
     for (const task_completion& completion : report.completions) {
         if (completion.sequence > worker.processedSequence) {
--- a/src/jobs/version/leader_election.cpp
+++ b/src/jobs/version/leader_election.cpp
@@ -11,14 +11,38 @@
     constexpr int claimFormat = 1;
     // A leader with at most this share of this instance's processors counts as weak.
     constexpr double weakProcessorRatio = 0.5;
+    constexpr size_t maxTakeovers = 8; // In a claim.
+    constexpr ms takeoverBoundsMs = 30'000; // Claims leave out earlier takeovers.
+
+    json encodeTakeover(const cell_takeover& takeover)
+    {
+        return json::array({ takeover.token, takeover.beganAt, takeover.leases.endAt,
+            takeover.leases.quorumMs, takeover.leases.longestEndAt });
+    }
+
+    cell_takeover decodeTakeover(const json& row)
+    {
+        return { row.at(0), row.at(1), { row.at(2), row.at(3), row.at(4) } };
+    }
+
+    cell_takeover shifted(cell_takeover takeover, ms by)
+    {
+        takeover.beganAt += by;
+        takeover.leases.endAt += by;
+        takeover.leases.longestEndAt += by;
+        return takeover;
+    }
 } // namespace
 
 std::string encodeClaim(const claim_record& claim)
 {
+    json takeovers = json::array();
+    for (const cell_takeover& takeover : claim.takeovers)
+        takeovers.push_back(encodeTakeover(takeover));
     std::string out;
-    json::to_cbor(
-        json::array({ claimFormat, claim.instance, claim.incarnation, claim.address, claim.token,
-            claim.released, claim.processors, claim.leasesEndMs, claim.quorumLeaseMs, claim.longestLeaseMs }),
+    json::to_cbor(json::array({ claimFormat, claim.instance, claim.incarnation, claim.address, claim.token,
+                      claim.released, claim.processors, claim.leasesEndMs, claim.quorumLeaseMs,
+                      claim.longestLeaseMs, takeovers }),
         out);
     return out;
 }
@@ -42,6 +66,10 @@
             out.quorumLeaseMs = row.at(8);
             out.longestLeaseMs = row.at(9);
         }
+        if (row.size() > 10) {
+            for (const json& entry : row.at(10))
+                out.takeovers.push_back(decodeTakeover(entry));
+        }
         return out;
     } catch (const json::exception&) {
         return std::nullopt;
@@ -97,9 +125,20 @@
     out.leasesEndMs = std::max(worstLeaseMs(terms.renewalMs), m_earlierLeases.endAt - now);
     out.quorumLeaseMs = std::max(worstLeaseMs(terms.quorumMs), m_earlierLeases.quorumMs);
     out.longestLeaseMs = std::max(worstLeaseMs(terms.longestMs), m_earlierLeases.longestEndAt - now);
+    for (const cell_takeover& takeover : m_takeovers) {
+        if (now - takeover.beganAt <= takeoverBoundsMs)
+            out.takeovers.push_back(shifted(takeover, -now));
+    }
     return out;
 }
 
+void leader_election::onBegun(ms now)
+{
+    m_takeovers.push_back({ m_token, now, m_earlierLeases });
+    if (m_takeovers.size() > maxTakeovers)
+        m_takeovers.erase(m_takeovers.begin());
+}
+
 void leader_election::onClaimRead(const std::optional<claim_record>& claim, uint64_t nextOffset, ms now)
 {
     onReadOk(now);
@@ -117,6 +156,11 @@
     bool mine = claim && claim->instance == m_self.instance && claim->incarnation == m_self.incarnation;
     m_newestClaim = claim;
     m_lastRenewalAt = now;
+    if (!mine) {
+        m_takeovers.clear();
+        for (const cell_takeover& takeover : claim ? claim->takeovers : std::vector<cell_takeover>())
+            m_takeovers.push_back(shifted(takeover, now));
+    }
     if (!mine && nextOffset > 0) {
         if (claim && claim->leasesEndMs > 0)
             m_earlierLeases = { now + claim->leasesEndMs, claim->quorumLeaseMs, now + claim->longestLeaseMs };
--- a/src/jobs/version/leader_election.h
+++ b/src/jobs/version/leader_election.h
@@ -13,7 +13,8 @@
 // Workers run tasks under leases, which outlive a leader. They are bounded by `lease_terms`, and each claim
 // states the bounds of its leader and of earlier ones. So the next leader knows how long a worker that does
 // not answer may still run what an earlier leader started: counted from the last renewal, not from the
-// takeover.
+// takeover. The claims also state the recent takeovers, so that a leader that is soon followed by another
+// does not extend these bounds for workers that it has not reached.
 #pragma once
 
 #include "jobs/jobs.h"
@@ -32,6 +33,8 @@
     ms leasesEndMs = 0;
     ms quorumLeaseMs = 0;
     ms longestLeaseMs = 0;
+    // Recent takeovers of the cell, oldest first. Times count from when the record was sent.
+    std::vector<cell_takeover> takeovers;
     bool operator==(const claim_record&) const = default;
 };
 std::string encodeClaim(const claim_record&);
@@ -93,6 +96,10 @@
     uint64_t token() const { return m_token; }
     // Includes the leases of earlier terms of this instance.
     const earlier_leases& earlierLeases() const { return m_earlierLeases; }
+    // The cell that this instance leads has begun to work.
+    void onBegun(ms now);
+    // Recent takeovers of the cell that preceded that of this instance.
+    const std::vector<cell_takeover>& takeovers() const { return m_takeovers; }
     ms renewedAt() const { return m_renewedAt; }
     const std::optional<claim_record>& newestClaim() const { return m_newestClaim; }
 
@@ -114,6 +121,7 @@
     ms m_lastRenewalAt = 0; // When the newest claim or renewal of any instance was read or sent.
     ms m_newLeaderAt = 0; // When the current leader first appeared in the claims.
     earlier_leases m_earlierLeases;
+    std::vector<cell_takeover> m_takeovers; // Includes that of this instance once its cell has begun.
     std::optional<ms> m_readingSince; // Start of the current run of successful reads.
 };
 
--- a/src/scheduler/process/cell_host_recovery.cpp
+++ b/src/scheduler/process/cell_host_recovery.cpp
@@ -150,7 +150,10 @@
     recoveredJobs.shrink_to_fit();
     recovered = true;
     ledCell->setEarlierLeases(election.earlierLeases());
-    ledCell->begin(bootNow(), unixNow());
+    ledCell->setTakeovers(token, election.takeovers());
+    ms beganAt = bootNow();
+    ledCell->begin(beganAt, unixNow());
+    election.onBegun(beganAt);
     auto statistics = ledCell->collectStatistics();
     context.log.writeAlways(
         log_line("cell_taken")
--- a/tests/jobs/jobs_test.cpp
+++ b/tests/jobs/jobs_test.cpp
@@ -670,6 +670,37 @@
     BOOST_TEST(third.earlierLeases().endAt == 13'000 + leasesEndMs);
 }
 
+BOOST_AUTO_TEST_CASE(claims_state_recent_takeovers_in_times_from_when_they_were_sent)
+{
+    using step = leader_election::step;
+    election_settings settings;
+    const ms leasesEndMs = worstLeaseMs(settings.leaseTerms.renewalMs);
+    const ms quorumLeaseMs = worstLeaseMs(settings.leaseTerms.quorumMs);
+    const ms longestLeaseMs = worstLeaseMs(settings.leaseTerms.longestMs);
+    leader_election first(settings, { "a", 1, "10.0.0.1:1" });
+    first.onClaimRead(std::nullopt, 0, 100);
+    first.onAppended(step::claim, 0, 100, false);
+    BOOST_TEST(first.record(step::renew, false, 700).takeovers.empty());
+
+    leader_election second(settings, { "b", 1, "10.0.0.2:1" });
+    second.onClaimRead(first.record(step::renew, false, 700), 1, 700);
+    second.onAppended(step::claim, 1, 2'500, false);
+    second.onBegun(3'000);
+    claim_record renewal = second.record(step::renew, false, 4'000);
+    BOOST_TEST((decodeClaim(encodeClaim(renewal)) == renewal));
+
+    leader_election third(settings, { "c", 1, "10.0.0.3:1" });
+    third.onClaimRead(renewal, 3, 50'000);
+    const cell_takeover expected { 2, 49'000,
+        { 46'700 + leasesEndMs, quorumLeaseMs, 46'700 + longestLeaseMs } };
+    BOOST_TEST((third.takeovers() == std::vector { expected }));
+    third.onAppended(step::claim, 3, 52'000, false);
+    third.onBegun(53'000);
+    BOOST_TEST(third.record(step::renew, false, 54'000).takeovers.size() == 2);
+    BOOST_TEST(third.record(step::renew, false, 80'000).takeovers.size() == 1);
+    BOOST_TEST(third.record(step::renew, false, 90'000).takeovers.empty());
+}
+
 // Regression (incident inc-c66e): a refused renewal was sent again in every iteration of the event loop.
 BOOST_AUTO_TEST_CASE(a_refused_renewal_is_retried_after_a_pause)
 {
--- a/tests/jobs/world_job_log.cpp
+++ b/tests/jobs/world_job_log.cpp
@@ -159,7 +159,9 @@
             leader->scheduler->setWorker(worker->record, m_now);
     }
     leader->scheduler->setEarlierLeases(leader->owner->election->earlierLeases());
+    leader->scheduler->setTakeovers(leader->owner->election->token(), leader->owner->election->takeovers());
     leader->scheduler->begin(m_now, unixOriginMs + m_now);
+    leader->owner->election->onBegun(m_now);
     for (size_t partition = 0; partition < m_jobLog.partitions(); partition++)
         followJobs(leader, partition);
     appendTombstones(leader, 0);
