The next leader counts the longest lease of an answered life from its takeover

What callers saw: lasting tasks of a worker that had started again within the last 10 s stayed away for 11 s and more when it and the leader were lost.

Cause: after a restart a worker may hold a lease of its maximum, from an order to its former life. The next leader counted that lease from the end of the earlier leader's leases, also if the worker's life had answered that leader, after which it refuses such orders.

Change: the lease of a life that had answered is counted from the takeover, as the record says which it was.

The new test in restart_test failed before.

--- a/src/jobs/process/cell_workers.cpp
+++ b/src/jobs/process/cell_workers.cpp
@@ -315,8 +315,13 @@
 {
     ms longestMs = worstLeaseMs(settings.maxLeaseMs);
     ms end = worker.newIncarnationAt == 0 ? 0 : worker.newIncarnationAt + longestMs;
-    return worker.restoredLongLeases ? std::max(end, earlierLeasesEnd(worker, lastQuorumAt) + longestMs)
-                                     : end;
+    if (!worker.restoredLongLeases)
+        return end;
+    // If the incarnation had answered an earlier leader, its long lease began before that one's orders ended.
+    ms leasesEnd = earlierLeasesEnd(worker, lastQuorumAt);
+    ms restoredEnd = worker.awaitsFirstAnswer ? leasesEnd + longestMs
+                                              : std::max(leasesEnd, earlierOrdersEnd(worker) + longestMs);
+    return std::max(end, restoredEnd);
 }
 
 void cell_model::recordLongLeases(worker_state& worker)
--- a/tests/jobs/restart_test.cpp
+++ b/tests/jobs/restart_test.cpp
@@ -325,6 +325,20 @@
     BOOST_TEST(driver.now + waited - reportedAt > longestLeaseAtLeaderMs);
 }
 
+BOOST_AUTO_TEST_CASE(next_leader_counts_the_longest_lease_of_an_answered_life_from_its_takeover)
+{
+    cell_driver driver(settingsOfLongLeases());
+    begin(driver, { { "j", singleStepJob(1) } });
+    auto starts = driver.take<start_action>();
+    BOOST_REQUIRE(starts.size() == 1);
+    worker_report report = reportOfLaterLife();
+    report.running.push_back({ starts[0].task, 1, "", 0 });
+    answerAsLaterLife(driver, report);
+    driver.runOnce();
+    ms waited = takeOverWithoutWorker(driver, driver.now + worstLeaseMs(lease_terms().renewalMs));
+    BOOST_TEST(waited < longestLeaseAtLeaderMs + 500);
+}
+
 BOOST_AUTO_TEST_CASE(restart_of_a_worker_long_ago_does_not_keep_its_tasks_away_after_a_lost_leader)
 {
     cell_driver driver(settingsOfLongLeases());
