--- a/src/jobs/process/cell_workers.cpp
+++ b/src/jobs/process/cell_workers.cpp
@@ -410,7 +410,8 @@
             .add("silent_ms", worker.reportedAt == 0 ? -1 : now - worker.reportedAt)
             .add("led_ms", now - beganAt)
             .add("tasks", static_cast<int64_t>(ended.size()))
-            .add("kept", static_cast<int64_t>(worker.placements.size() - ended.size())));
+            .add("kept", static_cast<int64_t>(worker.placements.size() - ended.size()))
+            .add("unreached_since", static_cast<int64_t>(worker.unreachedSince)));
     worker.hasReported = false;
     worker.processedSequence = worker.acknowledgedSequence = 0;
     worker.leaseUntilWorkerMs = worker.clockWorkerMs = 0;
