A leader whose majority has reported passes on that earlier quorums are over

Cause: the claims stated the bounds of a takeover as they were when it began, so the next leader waited for its own majority and for the quorum's lease after it, though the majority of the leader before had ended these quorums.

Change: once half of the workers have reported to a leader, the takeovers in its claims state the end of the earlier quorums.

--- a/src/jobs/process/cell.cpp
+++ b/src/jobs/process/cell.cpp
@@ -88,6 +88,12 @@
 }
 
 void cell::setRenewedAt(ms sentAt) { m_model->renewedAt = sentAt; }
+std::optional<ms> cell::majorityReportedAt() const
+{
+    ms reportedAt = m_model->majorityReportedAt;
+    return reportedAt == 0 ? std::nullopt : std::optional(reportedAt);
+}
+
 bool cell::fenced() const { return m_model->fenced; }
 
 void cell::setClock(ms now, int64_t unixMs)
--- a/src/jobs/process/cell.h
+++ b/src/jobs/process/cell.h
@@ -153,6 +153,8 @@
     void placePending(ms now);
     // Returns the actions decided since the last call.
     std::vector<action> takeActions();
+    // When half of the workers had reported to this leader; nothing before.
+    std::optional<ms> majorityReportedAt() const;
     // Whether a worker has seen a higher token, which means that another instance leads the cell.
     bool fenced() const;
 
--- a/src/jobs/version/leader_election.cpp
+++ b/src/jobs/version/leader_election.cpp
@@ -139,6 +139,16 @@
         m_takeovers.erase(m_takeovers.begin());
 }
 
+void leader_election::onMajorityReported(ms reportedAt)
+{
+    for (cell_takeover& takeover : m_takeovers) {
+        earlier_leases& leases = takeover.leases;
+        ms quorumEnd = std::min(leases.longestEndAt, reportedAt + leases.quorumMs);
+        leases.endAt = leases.longestEndAt = std::max(leases.endAt, quorumEnd);
+        leases.quorumMs = 0;
+    }
+}
+
 void leader_election::onClaimRead(const std::optional<claim_record>& claim, uint64_t nextOffset, ms now)
 {
     onReadOk(now);
--- a/src/jobs/version/leader_election.h
+++ b/src/jobs/version/leader_election.h
@@ -98,6 +98,8 @@
     const earlier_leases& earlierLeases() const { return m_earlierLeases; }
     // The cell that this instance leads has begun to work.
     void onBegun(ms now);
+    // Half of the workers have reported to this leader, so that no earlier one has had a quorum since.
+    void onMajorityReported(ms reportedAt);
     // Recent takeovers of the cell that preceded that of this instance.
     const std::vector<cell_takeover>& takeovers() const { return m_takeovers; }
     ms renewedAt() const { return m_renewedAt; }
--- a/src/scheduler/process/cell_host.cpp
+++ b/src/scheduler/process/cell_host.cpp
@@ -170,6 +170,8 @@
         return;
     ledCell->setJobLogReadUpTo(jobLogReadUpTo());
     currentCell().tick(now, unixNow());
+    if (auto reportedAt = ledCell->majorityReportedAt())
+        election.onMajorityReported(*reportedAt);
     flushCell();
     if (now - statisticsLoggedAt >= statisticsPeriodMs)
         logStatistics();
--- a/tests/jobs/jobs_test.cpp
+++ b/tests/jobs/jobs_test.cpp
@@ -696,6 +696,11 @@
     BOOST_TEST((third.takeovers() == std::vector { expected }));
     third.onAppended(step::claim, 3, 52'000, false);
     third.onBegun(53'000);
+    third.onMajorityReported(53'010);
+    const cell_takeover bounded { 2, -5'000,
+        { std::max(46'700 + leasesEndMs, 53'010 + quorumLeaseMs) - 54'000, 0,
+            std::max(46'700 + leasesEndMs, 53'010 + quorumLeaseMs) - 54'000 } };
+    BOOST_TEST((third.record(step::renew, false, 54'000).takeovers.front() == bounded));
     BOOST_TEST(third.record(step::renew, false, 54'000).takeovers.size() == 2);
     BOOST_TEST(third.record(step::renew, false, 80'000).takeovers.size() == 1);
     BOOST_TEST(third.record(step::renew, false, 90'000).takeovers.empty());
--- a/tests/jobs/world.cpp
+++ b/tests/jobs/world.cpp
@@ -207,6 +207,8 @@
     leader->scheduler->setRenewedAt(election.isLeader() ? election.renewedAt() : 0);
     leader->scheduler->setJobLogReadUpTo(jobLogReadUpTo(*leader));
     leader->scheduler->tick(m_now, unixOriginMs + m_now);
+    if (auto reportedAt = leader->scheduler->majorityReportedAt(); reportedAt && leadsNow(*leader))
+        leader->owner->election->onMajorityReported(*reportedAt);
     processActions(leader);
     checkStates(*leader);
     runAfter(tickIntervalMs, [this, leader] { tickLeader(leader); });
