--- a/tests/jobs/restart_test.cpp
+++ b/tests/jobs/restart_test.cpp
@@ -84,6 +84,17 @@
     return driver.now - earlier.now;
 }
 
+// Starts a task, which a later life of its worker receives and reports.
+void startOnLaterLife(cell_driver& driver)
+{
+    begin(driver, { { "j", singleStepJob(1) } });
+    auto starts = driver.take<start_action>();
+    BOOST_REQUIRE(starts.size() == 1);
+    worker_report report = reportOfLaterLife();
+    report.running.push_back({ starts[0].task, 1, "", 0 });
+    answerAsLaterLife(driver, report);
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_CASE(job_with_unreadable_progress_is_not_run_as_new)
@@ -313,12 +324,7 @@
 BOOST_AUTO_TEST_CASE(start_that_reached_a_later_incarnation_does_not_run_twice_after_a_lost_leader)
 {
     cell_driver driver(settingsOfLongLeases());
-    begin(driver, { { "j", singleStepJob(1) } });
-    auto starts = driver.take<start_action>();
-    BOOST_REQUIRE(starts.size() == 1);
-    worker_report report = reportOfLaterLife();
-    report.running.push_back({ starts[0].task, 1, "", 0 });
-    answerAsLaterLife(driver, report);
+    startOnLaterLife(driver);
     ms reportedAt = driver.now;
     driver.runOnce();
     ms waited = takeOverWithoutWorker(driver, driver.now + worstLeaseMs(lease_terms().renewalMs));
@@ -328,12 +334,7 @@
 BOOST_AUTO_TEST_CASE(next_leader_counts_the_longest_lease_of_an_answered_life_from_its_takeover)
 {
     cell_driver driver(settingsOfLongLeases());
-    begin(driver, { { "j", singleStepJob(1) } });
-    auto starts = driver.take<start_action>();
-    BOOST_REQUIRE(starts.size() == 1);
-    worker_report report = reportOfLaterLife();
-    report.running.push_back({ starts[0].task, 1, "", 0 });
-    answerAsLaterLife(driver, report);
+    startOnLaterLife(driver);
     driver.runOnce();
     ms waited = takeOverWithoutWorker(driver, driver.now + worstLeaseMs(lease_terms().renewalMs));
     BOOST_TEST(waited < longestLeaseAtLeaderMs + 500);
