A worker that answers late gets its lease as soon as it is recorded as reached

Cause: a worker that reports after it was recorded as unreached gets no lease before the record without the mark is durable, but the poll after its report was sent at once, without a lease and with a wait of 1 s. So the first poll with a lease followed 1 s after the record, however soon that was durable, and the earlier leader's lease may end before.

Change: until the record is durable, the next poll is held for at most 300 ms, and does not wait at the worker.

Measured: lease_of_a_worker_that_answers_late_... failed before (1,040 ms from the answer to the poll with the lease; the bound is 100 ms) and passes.

--- a/src/jobs/process/cell_workers.cpp
+++ b/src/jobs/process/cell_workers.cpp
@@ -39,7 +39,8 @@
     constexpr ms overduePollMs = 300; // An answer this long after the requested wait is overdue.
     constexpr ms pollRetryMs = 250; // Delay after a failed poll, times the number of consecutive failures.
     constexpr ms maxPollRetryMs = 1000;
-    constexpr ms unacknowledgedPollMs = 300; // Poll interval while completions wait for their record.
+    // Poll interval while completions, or that the worker was reached, wait for their record.
+    constexpr ms unrecordedPollMs = 300;
     constexpr size_t maxListedCompletions = 500; // A report with this many completions may omit further ones.
     constexpr ms drainStopMs = 700; // Tasks on a draining worker are stopped this long before it leaves.
     constexpr ms defaultDrainMs = 2000; // Assumed time left if a draining worker does not report one.
@@ -160,8 +161,10 @@
 void cell_model::pollWorker(worker_state& worker)
 {
     // A poll returns at once while unacknowledged completions are listed, so polls are spaced out until then.
-    bool tooEarly = worker.processedSequence != worker.acknowledgedSequence
-        && now - worker.reportedAt < unacknowledgedPollMs;
+    // A poll that may not extend the lease would delay the one that does.
+    bool awaitsRecord = worker.processedSequence != worker.acknowledgedSequence
+        || (worker.hasReported && worker.mayBeRecordedUnreached);
+    bool tooEarly = awaitsRecord && now - worker.reportedAt < unrecordedPollMs;
     if (worker.pollInFlight || now < worker.nextPollAt || tooEarly || worker.info.address.empty())
         return;
     if (!worker.listed && worker.placements.empty())
@@ -180,7 +183,7 @@
             shared ? settings.sharedPollWaitMs : settings.pollWaitMs,
             std::max(settings.pollWaitMs, settings.sharedPollWaitMs));
         // It may have started again, which is to be known soon.
-        if (worker.failedPolls > 0)
+        if (worker.failedPolls > 0 || worker.mayBeRecordedUnreached)
             poll.waitMs = 0;
         if (renewalOverdue())
             poll.waitMs = std::min(
--- a/tests/jobs/unseen_life_takeover_test.cpp
+++ b/tests/jobs/unseen_life_takeover_test.cpp
@@ -147,3 +147,62 @@
     third.runUntil(second.now + worstLeaseMs(lease_terms().renewalMs) - 100);
     BOOST_TEST(third.take<start_action>().empty());
 }
+
+// The earlier leader's lease on the worker may end within a second of its answer.
+BOOST_AUTO_TEST_CASE(lease_of_a_worker_that_answers_late_is_extended_once_it_is_recorded_as_reached)
+{
+    leader first;
+    startTask(first);
+    confirmTask(first);
+    leader second(first, 2);
+    second.runUntil(first.now + 2'000);
+    second.scheduler.setWorker(workerRecord("w"), second.now);
+    second.runOnce();
+    second.take<poll_action>();
+    const ms answeredAt = second.now;
+    ms pollAnsweredAt = answeredAt;
+    ms grantedAt = 0;
+    while (grantedAt == 0 && second.now < answeredAt + 5'000) {
+        if (second.now >= pollAnsweredAt) {
+            pollAnsweredAt = answeredAt + 100'000;
+            second.report("w", reportOfRunning({ "j", 0, 0, 0 }));
+        }
+        second.runOnce();
+        for (const poll_action& poll : second.take<poll_action>()) {
+            if (poll.worker != "w")
+                continue;
+            pollAnsweredAt = second.now + poll.waitMs;
+            grantedAt = poll.leaseUntilWorkerMs ? second.now : 0;
+        }
+    }
+    BOOST_REQUIRE(grantedAt != 0);
+    BOOST_TEST(grantedAt - answeredAt <= 100);
+}
+
+BOOST_AUTO_TEST_CASE(a_worker_that_cannot_be_recorded_as_reached_is_polled_at_a_bounded_rate)
+{
+    leader first;
+    startTask(first);
+    confirmTask(first);
+    leader second(first, 2);
+    second.runUntil(first.now + 2'000);
+    second.scheduler.setWorker(workerRecord("w"), second.now);
+    second.runOnce();
+    second.take<poll_action>();
+    second.report("w", reportOfRunning({ "j", 0, 0, 0 }));
+    second.runOnce(false);
+    const ms end = second.now + 3'000;
+    int polls = 0;
+    while (second.now < end) {
+        second.runOnce();
+        for (const poll_action& poll : second.take<poll_action>()) {
+            if (poll.worker != "w")
+                continue;
+            polls++;
+            BOOST_TEST(!poll.leaseUntilWorkerMs);
+            second.report("w", reportOfRunning({ "j", 0, 0, 0 }));
+        }
+    }
+    BOOST_TEST(polls > 0);
+    BOOST_TEST(polls <= 11);
+}
