Polls that wait for a record of reached workers are bounded in all

Cause: while the store is away, each worker that answered after it was recorded as unreached is polled every 300 ms, which is 11,000 polls a second for 3,500 such workers (computed in the review, not measured). Change: the pause grows with the number of workers as for overdue renewals, to 1,000 such polls a second. Result: unseen_life_takeover_test passes; large fleets were not played with it.

--- a/src/jobs/process/cell_workers.cpp
+++ b/src/jobs/process/cell_workers.cpp
@@ -162,9 +162,12 @@
 {
     // A poll returns at once while unacknowledged completions are listed, so polls are spaced out until then.
     // A poll that may not extend the lease would delay the one that does.
-    bool awaitsRecord = worker.processedSequence != worker.acknowledgedSequence
-        || (worker.hasReported && worker.mayBeRecordedUnreached);
-    bool tooEarly = awaitsRecord && now - worker.reportedAt < unrecordedPollMs;
+    ms perWorker = static_cast<ms>(workers.size()) * 1000;
+    bool awaitsReachedRecord = worker.hasReported && worker.mayBeRecordedUnreached;
+    ms holdMs = worker.processedSequence != worker.acknowledgedSequence ? unrecordedPollMs : 0;
+    if (awaitsReachedRecord)
+        holdMs = std::max(unrecordedPollMs, perWorker / maxOverduePollsPerSecond);
+    bool tooEarly = now - worker.reportedAt < holdMs;
     if (worker.pollInFlight || now < worker.nextPollAt || tooEarly || worker.info.address.empty())
         return;
     if (!worker.listed && worker.placements.empty())
@@ -178,7 +181,6 @@
     if (worker.hasReported) {
         bool shared = worker.serviceCpu > 0 && worker.bestEffortCpu > 0;
         // The interval grows with the number of workers, which bounds the total poll rate.
-        ms perWorker = static_cast<ms>(workers.size()) * 1000;
         poll.waitMs = std::clamp(perWorker / maxPollsPerSecond,
             shared ? settings.sharedPollWaitMs : settings.pollWaitMs,
             std::max(settings.pollWaitMs, settings.sharedPollWaitMs));
