The load model fits into one record of the store

Cause: the information matrices of all pairs were written in one record of any size. Now the record has a limit (store.recordBytes, from the platform's RecordBytes, 262144 by default). Waves take up to a third of it, those of the steps with the most tasks first. Then come the images with the most observations, up to half of the rest, and their pairs by their own information, until the record is full. What the left-out pairs explain by their present coefficients is taken from the information vector of the others. The format is the same, so either version reads the other's record.

--- a/src/jobs/process/cell.h
+++ b/src/jobs/process/cell.h
@@ -62,6 +62,7 @@
     ms sharedPollWaitMs = 400;
     // How long a finished job is kept after its end and after the deletion of its log records.
     ms finishedRetentionMs = 120'000;
+    size_t maxRecordBytes = 262'144; // The store's limit for a record, with its key.
     // The time after which a change of pace is in effect.
     ms paceDelayMs = 100;
     // Maximum number of workers in one request to the advice service.
@@ -142,8 +143,8 @@
     std::optional<write_batch> takeWrite(ms now);
     void onWritten(ms now);
 
-    // The load model (interference coefficients, load period and waves) for the next leader. Unreadable bytes
-    // are ignored.
+    // The load model (interference coefficients, load period and waves) for the next leader, as one record of
+    // at most `cell_settings::maxRecordBytes`: what is least used is left out. Unreadable bytes are ignored.
     std::string encodeLoadModel() const;
     void restoreLoadModel(const std::string& bytes);
 
--- a/src/jobs/process/cell_load_model.cpp
+++ b/src/jobs/process/cell_load_model.cpp
@@ -1,31 +1,57 @@
 // The load model of best-effort and latency-critical tasks, encoded for the next leader of the cell.
 #include "jobs/process/cell_model.h"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 
 namespace camphorwell {
 
 namespace {
     constexpr int loadModelFormat = 1;
+    constexpr size_t keyBytes = 256; // Upper bound of the key of a record and its length.
+    constexpr size_t encodedHeaderBytes = 64; // Upper bound of what is neither coefficients nor waves.
+    constexpr size_t encodedWaveBytes = 64; // Upper bound of a wave without the job's id.
 } // namespace
 
-// Format: [format, interference coefficients, period, [[job, occurrence, step, level, cosine, sine]]]
-std::string cell::encodeLoadModel() const
+// The steps whose waves are recorded: those with the most tasks, in at most `maxBytes`.
+std::vector<const step_run*> cell_model::stepsWithRecordedWaves(size_t maxBytes) const
 {
-    using nlohmann::json;
-    json waves = json::array();
-    for (const auto& [id, job] : m_model->jobs) {
+    std::vector<const step_run*> steps;
+    for (const auto& [id, job] : jobs) {
         for (const auto& [number, occurrence] : job->liveOccurrences) {
             for (const step_run& step : occurrence->steps) {
-                const load_wave& wave = step.wave;
                 if (step.baseLoads)
-                    waves.push_back({ id, number, step.number, wave.level, wave.cosine, wave.sine });
+                    steps.push_back(&step);
             }
         }
     }
+    std::stable_sort(steps.begin(), steps.end(),
+        [](const step_run* a, const step_run* b) { return a->tasks.size() > b->tasks.size(); });
+    size_t bytes = 0;
+    auto end = std::find_if(steps.begin(), steps.end(), [&](const step_run* step) {
+        bytes += encodedWaveBytes + step->job->id.size();
+        return bytes > maxBytes;
+    });
+    steps.erase(end, steps.end());
+    return steps;
+}
+
+// The waves take up to a third of the record, and the coefficients what is left.
+// Format: [format, interference coefficients, period, [[job, occurrence, step, level, cosine, sine]]]
+std::string cell::encodeLoadModel() const
+{
+    using nlohmann::json;
+    size_t maxBytes = m_model->settings.maxRecordBytes - keyBytes - encodedHeaderBytes;
+    json waves = json::array();
+    for (const step_run* step : m_model->stepsWithRecordedWaves(maxBytes / 3)) {
+        const load_wave& wave = step->wave;
+        waves.push_back(
+            { step->job->id, step->occurrence, step->number, wave.level, wave.cosine, wave.sine });
+        maxBytes -= encodedWaveBytes + step->job->id.size();
+    }
     std::string out;
-    json::to_cbor(json::array({ loadModelFormat, m_model->interferenceModel.encode(), m_model->loadPeriodMs,
-                      std::move(waves) }),
+    json::to_cbor(json::array({ loadModelFormat, m_model->interferenceModel.encode(maxBytes),
+                      m_model->loadPeriodMs, std::move(waves) }),
         out);
     return out;
 }
--- a/src/jobs/process/cell_model.h
+++ b/src/jobs/process/cell_model.h
@@ -599,6 +599,7 @@
 
     // cell_load_model.cpp
     void restoreWave(step_run&);
+    std::vector<const step_run*> stepsWithRecordedWaves(size_t maxBytes) const;
 
     // cell_sharing.cpp
     void updateSharing();
--- a/src/jobs/process/interference.cpp
+++ b/src/jobs/process/interference.cpp
@@ -25,6 +25,10 @@
     constexpr int refitsAtRestore = 12; // The factors are not stored and have to converge again.
     constexpr int modelFormat = 4; // Earlier formats hold other quantities and are not read.
     constexpr size_t maxImages = 4096; // Callers choose the names; further images share the last id.
+    // Upper bounds of the sizes in the encoding, without names.
+    constexpr size_t encodedHeaderBytes = 16;
+    constexpr size_t encodedImageBytes = 48; // Two doubles, and the headers of a row and its three arrays.
+    constexpr size_t encodedItemBytes = 5; // A rounded number, or the header of a name.
     constexpr size_t maxUnknowns = 64; // Pairs with further best-effort images keep their prior.
 } // namespace
 
@@ -147,26 +151,97 @@
     return count;
 }
 
+// Images come first, up to half of the bytes, since every unknown needs its image. The sum of squared shares
+// of an observation, which decays with time, says how much an unknown is used.
+interference_model::encoded_unknowns interference_model::chooseEncodedUnknowns(size_t maxBytes) const
+{
+    struct candidate {
+        size_t image = 0;
+        size_t index = 0;
+        double information = 0;
+    };
+    std::vector<candidate> images;
+    std::vector<candidate> unknowns;
+    for (size_t image = 0; image < m_latencyCriticalModels.size(); image++) {
+        const latency_critical_model& model = m_latencyCriticalModels[image];
+        if (!model.hasData)
+            continue;
+        size_t n = model.images.size();
+        double sum = 0;
+        for (size_t i = 0; i < n; i++) {
+            double information = model.informationMatrix[i * n + i];
+            sum += information;
+            unknowns.push_back({ image, i, information });
+        }
+        images.push_back({ image, 0, sum });
+    }
+    auto moreUsed = [](const candidate& a, const candidate& b) { return a.information > b.information; };
+    std::stable_sort(images.begin(), images.end(), moreUsed);
+    std::stable_sort(unknowns.begin(), unknowns.end(), moreUsed);
+    encoded_unknowns out(m_latencyCriticalModels.size());
+    size_t bytes = encodedHeaderBytes;
+    for (const candidate& each : images) {
+        size_t added = encodedImageBytes + m_names[each.image].size();
+        if (bytes + added > maxBytes / 2)
+            break;
+        bytes += added;
+        out[each.image].emplace();
+    }
+    for (const candidate& each : unknowns) {
+        auto& chosen = out[each.image];
+        if (!chosen)
+            continue;
+        auto bestEffort = static_cast<size_t>(m_latencyCriticalModels[each.image].images[each.index]);
+        // Its name, its element of the vector and its row of the triangle.
+        size_t added
+            = encodedItemBytes + m_names[bestEffort].size() + encodedItemBytes * (chosen->size() + 2);
+        if (bytes + added > maxBytes)
+            break;
+        bytes += added;
+        chosen->push_back(each.index);
+    }
+    for (auto& chosen : out) {
+        if (chosen)
+            std::sort(chosen->begin(), chosen->end());
+    }
+    return out;
+}
+
+double interference_model::encodedInformation(
+    const latency_critical_model& model, size_t index, const std::vector<size_t>& encoded)
+{
+    size_t n = model.images.size();
+    double out = model.informationVector[index];
+    for (size_t other = 0; other < n && encoded.size() < n; other++) {
+        if (!std::binary_search(encoded.begin(), encoded.end(), other))
+            out -= model.informationMatrix[index * n + other] * model.coefficients[other];
+    }
+    return out;
+}
+
 // [format, [[image, minimum tail ratio, base load, best-effort images, information vector,
 //            lower triangle of the information matrix by rows]]]
-std::string interference_model::encode() const
+std::string interference_model::encode(size_t maxBytes) const
 {
     using nlohmann::json;
     auto rounded = [](double value) { return static_cast<float>(value); }; // Halves the size.
+    encoded_unknowns chosen = chooseEncodedUnknowns(maxBytes);
     json rows = json::array();
     for (size_t image = 0; image < m_latencyCriticalModels.size(); image++) {
         const latency_critical_model& model = m_latencyCriticalModels[image];
-        if (!model.hasData)
+        if (!chosen[image])
             continue;
         size_t n = model.images.size();
         json images = json::array();
         json informationVector = json::array();
         json lowerTriangle = json::array();
-        for (size_t row = 0; row < n; row++) {
+        const std::vector<size_t>& encoded = *chosen[image];
+        for (size_t i = 0; i < encoded.size(); i++) {
+            size_t row = encoded[i];
             images.push_back(m_names[static_cast<size_t>(model.images[row])]);
-            informationVector.push_back(rounded(model.informationVector[row]));
-            for (size_t column = 0; column <= row; column++)
-                lowerTriangle.push_back(rounded(model.informationMatrix[row * n + column]));
+            informationVector.push_back(rounded(encodedInformation(model, row, encoded)));
+            for (size_t k = 0; k <= i; k++)
+                lowerTriangle.push_back(rounded(model.informationMatrix[row * n + encoded[k]]));
         }
         rows.push_back({ m_names[image], model.minTailRatio, model.baseLoad, std::move(images),
             std::move(informationVector), std::move(lowerTriangle) });
--- a/src/jobs/process/interference.h
+++ b/src/jobs/process/interference.h
@@ -25,6 +25,7 @@
 
 #include <array>
 #include <cstdint>
+#include <limits>
 #include <optional>
 #include <string>
 #include <unordered_map>
@@ -65,8 +66,9 @@
     // Mean base load of the image's tasks.
     double baseLoad(image_id latencyCritical) const;
 
-    // Serialises what was learnt, for the next leader of the cell; `restore` ignores unreadable bytes.
-    std::string encode() const;
+    // Serialises what was learnt in at most `maxBytes`, for the next leader of the cell. What has the least
+    // observations is left out first. `restore` ignores unreadable bytes.
+    std::string encode(size_t maxBytes = std::numeric_limits<size_t>::max()) const;
     void restore(const std::string& bytes);
 
 private:
@@ -95,6 +97,14 @@
     };
     class factor_fit;
 
+    // For each image, the indices of its unknowns in an encoding of at most `maxBytes`; nothing for an image
+    // that is left out.
+    using encoded_unknowns = std::vector<std::optional<std::vector<size_t>>>;
+    encoded_unknowns chooseEncodedUnknowns(size_t maxBytes) const;
+    // The part of the information vector at `index` that the unknowns left out of the encoding do not
+    // explain.
+    static double encodedInformation(
+        const latency_critical_model&, size_t index, const std::vector<size_t>& encoded);
     // Index of the unknown for the image, which is added if it is new; nothing if there are too many.
     std::optional<size_t> unknownIndex(latency_critical_model&, image_id bestEffort);
     void addUnknown(latency_critical_model&, image_id bestEffort);
--- a/src/scheduler/process/settings.cpp
+++ b/src/scheduler/process/settings.cpp
@@ -29,7 +29,8 @@
           "properties": {
             "address": { "type": "string", "pattern": "^[0-9.]+:[0-9]+$" },
             "partitions": { "type": "integer", "minimum": 1, "default": 1 },
-            "callBytes": { "type": "integer", "minimum": 65536, "default": 1048576 }
+            "callBytes": { "type": "integer", "minimum": 65536, "default": 1048576 },
+            "recordBytes": { "type": "integer", "minimum": 4096, "default": 262144 }
           }
         },
         "workers": {
@@ -77,6 +78,7 @@
     out.store.address = given["store"]["address"];
     out.store.partitions = given["store"].value("partitions", 1);
     out.store.maxAppendBytes = given["store"].value("callBytes", size_t { 1 } << 20);
+    out.cell.maxRecordBytes = given["store"].value("recordBytes", cell_settings().maxRecordBytes);
     json workers = given.value("workers", json::object());
     out.cell.maxLeaseMs = workers.value("maxLeaseMs", ms { 6000 });
     out.cell.leaseMs = workers.value("leaseMs", out.cell.maxLeaseMs - leaseMarginMs);
--- a/tests/jobs/jobs_test.cpp
+++ b/tests/jobs/jobs_test.cpp
@@ -6,6 +6,7 @@
 #include "tests/jobs/world.h"
 
 #include <boost/test/unit_test.hpp>
+#include <nlohmann/json.hpp>
 
 using namespace camphorwell;
 using camphorwell::testing::batchQueue;
@@ -895,6 +896,49 @@
     BOOST_TEST(unreadable.coefficient(unreadable.internImage("f"), unreadable.internImage("s")) == 0.5);
 }
 
+BOOST_AUTO_TEST_CASE(load_model_of_512_images_of_each_kind_fits_into_a_record)
+{
+    constexpr size_t images = 512;
+    constexpr size_t pairsOfImage = 64;
+    constexpr double trueCoefficient = 1.6;
+    constexpr double share = 0.1;
+    interference_model model;
+    std::vector<image_id> latencyCritical;
+    std::vector<image_id> bestEffort;
+    for (size_t i = 0; i < images; i++) {
+        latencyCritical.push_back(model.internImage("watch-" + std::to_string(i)));
+        bestEffort.push_back(model.internImage("tally-" + std::to_string(i)));
+    }
+    for (size_t s = 0; s < images; s++) {
+        for (size_t pair = 0; pair < pairsOfImage; pair++) {
+            // The first pair of each image is seen most.
+            for (int seen = 0; seen < (pair == 0 ? 50 : 1); seen++)
+                model.observeRise(latencyCritical[s], trueCoefficient * share,
+                    { { bestEffort[(s + pair) % images], share } }, 0.08);
+        }
+    }
+    model.refit();
+    std::string bytes;
+    nlohmann::json::to_cbor(
+        nlohmann::json::array({ 1, model.encode(), 10'000.0, nlohmann::json::array() }), bytes);
+    cell_driver driver;
+    driver.scheduler.restoreLoadModel(bytes);
+    std::string encoded = driver.scheduler.encodeLoadModel();
+    constexpr size_t maxRecordBytes = 262'144;
+    constexpr size_t maxKeyBytes = 256;
+    BOOST_TEST(encoded.size() + maxKeyBytes <= maxRecordBytes);
+    BOOST_TEST(encoded.size() > maxRecordBytes / 2);
+    interference_model restored;
+    restored.restore(nlohmann::json::from_cbor(encoded).at(1).get<std::string>());
+    size_t kept = 0;
+    for (size_t s = 0; s < images; s++) {
+        image_id serving = restored.internImage("watch-" + std::to_string(s));
+        image_id filling = restored.internImage("tally-" + std::to_string(s));
+        kept += std::abs(restored.coefficient(filling, serving) - trueCoefficient) < 0.2;
+    }
+    BOOST_TEST(kept == images);
+}
+
 BOOST_AUTO_TEST_CASE(capacity_excess_is_not_reported_for_later_starts)
 {
     std::vector<fleet::observed_attempt> history;
