A progress record that the store rejects holds up no other

Cause: every failed append was retried as it was. Now a rejected one is halved until the record is alone that the store does not take. After 3 rejections by itself (60, or 9 s, if it is within recordBytes, as an answer that cannot be read counts as well) it is set aside and logged once (progress_record_rejected: key, bytes), and the rest goes on. Its job fails and starts nothing more; completions read so far are acknowledged with the next write, which records the failure. A rejected load model is not written again by this leader.

--- a/src/jobs/process/cell.h
+++ b/src/jobs/process/cell.h
@@ -142,6 +142,9 @@
     // confirms that the append is durable.
     std::optional<write_batch> takeWrite(ms now);
     void onWritten(ms now);
+    // A record of the append in flight was left out for good, since the store does not take it. Its job fails:
+    // tasks whose progress is not recorded might run twice.
+    void onRecordRejected(const std::string& key, ms now);
 
     // The load model (interference coefficients, load period and waves) for the next leader, as one record of
     // at most `cell_settings::maxRecordBytes`: what is least used is left out. Unreadable bytes are ignored.
--- a/src/jobs/process/cell_model.h
+++ b/src/jobs/process/cell_model.h
@@ -446,6 +446,7 @@
     void restoreProgress(const job_id&, std::string_view bytes);
     void applyProgress(job_run&, std::string_view bytes);
     void setProgressUnreadable(job_run&, std::string_view error);
+    void onRecordRejected(const std::string& key);
     std::optional<write_batch> takeWrite();
     void forgetJobs(write_batch&);
     void onWritten();
--- a/src/jobs/process/cell_progress.cpp
+++ b/src/jobs/process/cell_progress.cpp
@@ -316,6 +316,27 @@
     writingJobs.clear();
 }
 
+void cell::onRecordRejected(const std::string& key, ms now)
+{
+    m_model->now = now;
+    m_model->onRecordRejected(key);
+}
+
+// Completions stay unacknowledged until the next write, which records the failure of the job: a leader that
+// takes over before then still sees them.
+void cell_model::onRecordRejected(const std::string& key)
+{
+    CAMPHORWELL_INVARIANT(writeInFlight, "onRecordRejected was called without an append in flight");
+    auto found = jobs.find(key);
+    if (found == jobs.end())
+        return;
+    job_run& job = *found->second;
+    std::erase(writingJobs, &job);
+    writingCompletions.clear();
+    if (!job.isOver())
+        finishJob(job, job_state::failed);
+}
+
 // Whether a planned attempt can still be started on its worker. The members of a gang start together or not
 // at all.
 bool cell_model::startable(const task_placement& placement) const
--- a/src/scheduler/process/cell_host_recovery.cpp
+++ b/src/scheduler/process/cell_host_recovery.cpp
@@ -18,6 +18,7 @@
     token = election.token();
     recoveryStartedAt = bootNow();
     recovered = false;
+    loadModelRejected = false;
     ledCell = std::make_unique<cell>(context.settings.cell, queues,
         decision_log([this](const log_line& line) { context.log.write(line); },
             [this] { return context.log.admitLine(); }));
--- a/src/scheduler/process/cell_host_state.h
+++ b/src/scheduler/process/cell_host_state.h
@@ -5,6 +5,8 @@
 #include "scheduler/scheduler.h"
 #include "schema/field_reader.h"
 
+#include <limits>
+
 namespace camphorwell {
 
 constexpr int maxRecordDepth = 16; // Of records in the store; more than any format of ours nests.
@@ -19,7 +21,9 @@
 // The progress records of one write of the cell. They are appended in order, in as many calls as they need.
 struct progress_write {
     std::vector<std::string> records;
-    size_t appended = 0; // Number of records that are durable.
+    size_t settled = 0; // Number of records that are durable, or left out.
+    size_t maxRecordsPerCall = std::numeric_limits<size_t>::max();
+    int rejections = 0; // Number of times that the store has rejected the next record by itself.
 };
 
 struct cell_host::state {
@@ -51,6 +55,7 @@
     std::vector<std::pair<uint64_t, platform::keyed_item>> recoveredJobs;
     ms recoveryStartedAt = 0;
     ms loadModelWrittenAt = 0;
+    bool loadModelRejected = false; // The store does not take it, so this leader does not write it again.
     ms statisticsLoggedAt = 0;
     // Key of the load model in the progress topic. Job ids are hexadecimal, so none is equal to it.
     static constexpr const char* loadModelKey = "~learnt";
@@ -81,6 +86,10 @@
     void appendProgress(const std::shared_ptr<progress_write>&, uint64_t term);
     void sendProgress(const std::shared_ptr<progress_write>&,
         const std::shared_ptr<platform::append_request>&, uint64_t term);
+    void onProgressRejected(
+        const std::shared_ptr<progress_write>&, const platform::append_request&, uint64_t term);
+    void settleProgress(const std::shared_ptr<progress_write>&, size_t records, uint64_t term);
+    void setRecordAside(const std::string& record);
     void followJobs(uint64_t term, int partition);
     void followWorkers(uint64_t term);
     void applyJobRecord(int partition, const platform::keyed_item&);
--- a/src/scheduler/process/cell_host_work.cpp
+++ b/src/scheduler/process/cell_host_work.cpp
@@ -9,6 +9,10 @@
     constexpr ms workerReadPeriodMs = 300;
     constexpr ms retryMs = 150;
     constexpr ms appendTimeoutMs = 1500;
+    // After so many rejections by itself a record is set aside. An answer that cannot be read counts as one,
+    // too, though the record may have been appended.
+    constexpr int maxRejectionsOfLargeRecord = 3;
+    constexpr int maxRejections = 60; // Of a record that the store should take.
     constexpr size_t recordLengthBytes = 4; // Length of a record, before it in the body of an append.
     constexpr ms loadModelPeriodMs = 3000; // The load model is appended with progress records.
     constexpr ms tombstonePeriodMs = 4000;
@@ -32,7 +36,7 @@
         auto write = std::make_shared<progress_write>();
         for (const auto& record : batch->records)
             write->records.push_back(platform::encodeKeyedRecord(record.key, record.bytes));
-        if (bootNow() - loadModelWrittenAt > loadModelPeriodMs) {
+        if (!loadModelRejected && bootNow() - loadModelWrittenAt > loadModelPeriodMs) {
             loadModelWrittenAt = bootNow();
             write->records.push_back(platform::encodeKeyedRecord(loadModelKey, ledCell->encodeLoadModel()));
         }
@@ -69,10 +73,12 @@
     request->topic = progressTopic;
     request->producer = platform::producer_sequence { "owner", token, ++progressSequence };
     size_t bytes = 0;
-    for (size_t i = write->appended; i < write->records.size(); i++) {
+    for (size_t i = write->settled; i < write->records.size(); i++) {
         bytes += write->records[i].size() + recordLengthBytes;
         if (!request->records.empty() && bytes > context.settings.store.maxAppendBytes)
             break;
+        if (request->records.size() >= write->maxRecordsPerCall)
+            break;
         request->records.push_back(write->records[i]);
     }
     sendProgress(write, request, term);
@@ -86,13 +92,7 @@
             if (!leadsInTerm(term))
                 return;
             if (answer.outcome == platform::store_outcome::done) {
-                write->appended += request->records.size();
-                if (write->appended < write->records.size()) {
-                    appendProgress(write, term);
-                    return;
-                }
-                currentCell().onWritten(bootNow());
-                flushCell();
+                settleProgress(write, request->records.size(), term);
                 return;
             }
             context.counts["progress_append_" + std::string(toString(answer.outcome))]++;
@@ -110,6 +110,10 @@
                 stepDown("append_out_of_order");
                 return;
             }
+            if (answer.outcome == platform::store_outcome::malformed) {
+                onProgressRejected(write, *request, term);
+                return;
+            }
             // Retry with the same sequence number: if the append was done, the store repeats its first
             // answer.
             scheduleInTerm(
@@ -117,6 +121,55 @@
         });
 }
 
+void cell_host::state::settleProgress(
+    const std::shared_ptr<progress_write>& write, size_t records, uint64_t term)
+{
+    write->settled += records;
+    write->rejections = 0;
+    if (write->settled < write->records.size()) {
+        appendProgress(write, term);
+        return;
+    }
+    currentCell().onWritten(bootNow());
+    flushCell();
+}
+
+// Finds the record that the store does not take by halving the number of records of a call, and sets it
+// aside, so that it holds up no other. A rejected call does not use up its sequence number.
+void cell_host::state::onProgressRejected(
+    const std::shared_ptr<progress_write>& write, const platform::append_request& request, uint64_t term)
+{
+    progressSequence--;
+    if (request.records.size() > 1) {
+        write->maxRecordsPerCall = request.records.size() / 2;
+        appendProgress(write, term);
+        return;
+    }
+    const std::string& record = request.records.front();
+    bool large = record.size() > context.settings.cell.maxRecordBytes;
+    if (++write->rejections < (large ? maxRejectionsOfLargeRecord : maxRejections)) {
+        scheduleInTerm(term, retryMs, [this, write, term] { appendProgress(write, term); });
+        return;
+    }
+    setRecordAside(record);
+    write->maxRecordsPerCall = std::numeric_limits<size_t>::max();
+    settleProgress(write, 1, term);
+}
+
+void cell_host::state::setRecordAside(const std::string& record)
+{
+    auto item = platform::decodeKeyedRecord(record);
+    CAMPHORWELL_INVARIANT(item, "a progress record has no key");
+    context.counts["progress_record_rejected"]++;
+    context.log.writeAlways(log_line("progress_record_rejected")
+                                .add("key", item->key)
+                                .add("bytes", static_cast<int64_t>(record.size())));
+    if (item->key == loadModelKey)
+        loadModelRejected = true;
+    else
+        ledCell->onRecordRejected(item->key, bootNow());
+}
+
 void cell_host::state::perform(const action& requested)
 {
     struct performer {
--- a/tests/scheduler/leader_test.cpp
+++ b/tests/scheduler/leader_test.cpp
@@ -95,6 +95,19 @@
     return request.path == path && queryOf(request)["Topic"] == topic;
 }
 
+// Size of the largest record in the body of an append.
+size_t largestRecord(const std::string& body)
+{
+    size_t out = 0;
+    for (size_t position = 0; position + 4 <= body.size();) {
+        size_t length
+            = boost::endian::load_big_u32(reinterpret_cast<const unsigned char*>(body.data() + position));
+        out = std::max(out, length);
+        position += 4 + length;
+    }
+    return out;
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_CASE(job_whose_record_is_not_read_yet_is_not_reported_as_unknown)
@@ -203,6 +216,47 @@
     BOOST_TEST(f.worker.starts == jobs);
 }
 
+// The tasks of one job have no room in a record. The jobs before and after it run, and so does a later one.
+BOOST_AUTO_TEST_CASE(record_over_the_limit_of_the_store_holds_up_no_other)
+{
+    constexpr size_t maxRecordBytes = 1'000;
+    constexpr int largeJob = 5;
+    constexpr int tasksOfLargeJob = 140;
+    constexpr int jobs = 11;
+    scheduler_settings settings = leaderSettings();
+    settings.cell.maxRecordBytes = maxRecordBytes;
+    fixture f(settings);
+    int rejected = 0;
+    f.log.intercept = [&](const http_request& request, const reply_ptr& reply) {
+        if (!isRequest(request, "/log-append", progressTopic)
+            || largestRecord(request.body) <= maxRecordBytes)
+            return false;
+        rejected++;
+        reply->send(400, {}, "");
+        return true;
+    };
+    f.log.putWorker("w", workerPort, workerStartMs, 2 * tasksOfLargeJob);
+    for (int i = 0; i < jobs; i++)
+        f.log.put(jobsTopic, jobId(i), encodeJob(singleStepJob(i == largeJob ? tasksOfLargeJob : 1)));
+    f.lead();
+    f.leader.runUntil(5'000, [&] { return f.worker.starts >= jobs - 1; });
+    BOOST_TEST(f.worker.starts == jobs - 1);
+    f.leader.runUntil(3'000, [&] {
+        auto large = f.leader.host.stateOf(jobId(largeJob));
+        return large && large->state == job_state::failed;
+    });
+    auto large = f.leader.host.stateOf(jobId(largeJob));
+    BOOST_REQUIRE(large.has_value());
+    BOOST_TEST(toString(large->state) == toString(job_state::failed));
+    int rejectedBefore = rejected;
+    f.putJob(jobs);
+    f.leader.runUntil(5'000, [&] { return f.worker.starts >= jobs; });
+    BOOST_TEST(f.worker.starts == jobs);
+    BOOST_TEST(rejected == rejectedBefore);
+    for (const auto& running : f.worker.running)
+        BOOST_TEST(!running[0].get<std::string>().starts_with(jobId(largeJob)));
+}
+
 // The leader is paused while an append is in flight, for longer than its leadership lasts.
 BOOST_AUTO_TEST_CASE(append_confirmed_during_a_pause_starts_nothing)
 {
