The progress of a large job is recorded in parts

Now the progress of a job with more than 128 tasks is spread over parts (JOB~N), each of at most 128 tasks of one step of one occurrence, or of one gang. A task's part depends on the job's specification alone, so that a takeover between two calls of a write finds each task in one record. Parts come before the job's first record, and count only for the steps that it lists; unchanged parts are not written again; parts that are not needed any more are deleted after it, those that a lost leader left at the next takeover. A part over the limit fails its job, as before.

--- a/src/jobs/process/cell.cpp
+++ b/src/jobs/process/cell.cpp
@@ -107,6 +107,7 @@
         if (job->hasRecord && !job->isOver() && !job->hasProgress)
             m_model->log(log_line("job_without_progress").add("id", id).add("age_ms", now - job->acceptedAt));
     }
+    m_model->dropUnusedParts();
     m_model->endAttemptsOfEarlierIncarnations();
     m_model->noteUnreachedWorkers();
     m_model->placingNeeded = true;
--- a/src/jobs/process/cell.h
+++ b/src/jobs/process/cell.h
@@ -63,6 +63,8 @@
     // How long a finished job is kept after its end and after the deletion of its log records.
     ms finishedRetentionMs = 120'000;
     size_t maxRecordBytes = 262'144; // The store's limit for a record, with its key.
+    // Tasks that one progress record holds at most, but for gangs: a gang is recorded as a whole.
+    int tasksPerRecord = 128;
     // The time after which a change of pace is in effect.
     ms paceDelayMs = 100;
     // Maximum number of workers in one request to the advice service.
@@ -91,10 +93,13 @@
     // Sets the instance's clock and the time of day that belongs to it.
     void setClock(ms now, int64_t unixMs);
     // Restores a progress record of an earlier leader. Must precede `begin` and `addJob` of that job. The key
-    // is the id of a job, or `incarnationKeyPrefix` and the id of a worker.
+    // is the id of a job, that of a further record of a job, or `incarnationKeyPrefix` and the id of a
+    // worker.
     void restoreProgress(const std::string& key, std::string_view bytes);
     static constexpr const char* incarnationKeyPrefix = "~worker/"; // Job ids are hexadecimal.
     static bool isIncarnationKey(std::string_view key);
+    // Whether the key is that of a further record of a job.
+    static bool isPartKey(std::string_view key);
     // Must precede `begin`. Unless it is called, leases of earlier leaders are taken to last as long as the
     // worker accepts, from the beginning on.
     void setEarlierLeases(const earlier_leases&);
@@ -142,8 +147,8 @@
     // confirms that the append is durable.
     std::optional<write_batch> takeWrite(ms now);
     void onWritten(ms now);
-    // A record of the append in flight was left out for good, since the store does not take it. Its job fails:
-    // tasks whose progress is not recorded might run twice.
+    // A record of the append in flight was left out for good, since the store does not take it. Its job
+    // fails: tasks whose progress is not recorded might run twice.
     void onRecordRejected(const std::string& key, ms now);
 
     // The load model (interference coefficients, load period and waves) for the next leader, as one record of
--- a/src/jobs/process/cell_model.h
+++ b/src/jobs/process/cell_model.h
@@ -10,6 +10,8 @@
 #include <algorithm>
 #include <array>
 #include <deque>
+#include <nlohmann/json_fwd.hpp>
+#include <set>
 
 namespace camphorwell {
 
@@ -147,6 +149,8 @@
     int64_t nextOccurrence = 0;
     std::map<int64_t, std::unique_ptr<occurrence_run>> liveOccurrences;
     std::shared_ptr<const std::string> payload;
+    // Further progress records, by key: the hash of what was written last, 0 if that does not count any more.
+    std::map<std::string, uint64_t> recordedParts;
     std::string unappliedProgress; // Progress restored before the record of the job itself.
     bool hasProgress = false; // An earlier leader has recorded progress of the job.
     bool progressUnreadable = false; // The job's records must be kept as they are.
@@ -377,6 +381,8 @@
     ms sortedAt = 0; // When the dispatch keys were last recomputed.
     std::vector<task_placement> plannedStarts; // Starts recorded by the next append.
     std::vector<task_placement> writingStarts; // Starts recorded by the append in flight.
+    std::map<job_id, std::vector<progress_record>> restoredParts; // Of jobs that have not been read yet.
+    std::vector<std::string> obsoleteParts; // Keys of further records of jobs that are to be deleted.
     std::vector<job_run*> writingJobs; // Jobs recorded by the append in flight.
     // Sequence number of the last completion that each worker may forget once the append in flight is
     // durable.
@@ -443,6 +449,13 @@
     // cell_progress.cpp
     static task_attempt* findAttempt(const task_placement&);
     std::string encodeProgress(const job_run&) const;
+    bool isSplit(const job_run&) const;
+    void writeProgress(write_batch&, job_run&);
+    std::vector<progress_record> encodeParts(const job_run&) const;
+    void restorePart(const std::string& key, std::string_view bytes);
+    void applyParts(job_run&, const std::set<std::pair<int64_t, int>>& openSteps);
+    void applyTask(step_run&, const nlohmann::json&);
+    void dropUnusedParts();
     void restoreProgress(const job_id&, std::string_view bytes);
     void applyProgress(job_run&, std::string_view bytes);
     void setProgressUnreadable(job_run&, std::string_view error);
--- a/tests/jobs/jobs_test.cpp
+++ b/tests/jobs/jobs_test.cpp
@@ -896,6 +896,68 @@
     BOOST_TEST(unreadable.coefficient(unreadable.internImage("f"), unreadable.internImage("s")) == 0.5);
 }
 
+// No record exceeds the limit of the store, the next leader knows every attempt, and no record of the job's
+// tasks remains when it is over.
+BOOST_AUTO_TEST_CASE(job_of_three_steps_of_5000_tasks_survives_a_takeover)
+{
+    constexpr int tasks = 5'000;
+    constexpr int steps = 3;
+    constexpr size_t maxRecordBytes = 262'144;
+    constexpr size_t maxKeyBytes = 256;
+    constexpr int maxIterations = 400;
+    job_record job = singleStepJob(tasks);
+    job.spec.steps[0].memoryMb = 1;
+    job.spec.steps.resize(steps, job.spec.steps[0]);
+    worker_record worker = workerRecord(std::string(200, 'w'));
+    worker.capacity = { 1000LL * steps * tasks, 1LL * steps * tasks, 0, 0 };
+    auto begin = [&](cell_driver& driver) {
+        driver.scheduler.addJob("j", job);
+        driver.scheduler.begin(driver.now, driver.now);
+        driver.scheduler.setWorker(worker, driver.now);
+    };
+    cell_driver driver;
+    begin(driver);
+    worker_report report;
+    for (int i = 0; i < maxIterations && report.running.size() < steps * tasks; i++) {
+        driver.report(worker.id, report);
+        driver.runOnce();
+        for (const start_action& start : driver.take<start_action>()) {
+            driver.scheduler.onStarted(start, order_outcome::done, driver.now);
+            report.running.push_back({ start.task, start.attempt, "", 10, 0 });
+        }
+    }
+    BOOST_REQUIRE(report.running.size() == steps * tasks);
+    size_t largest = 0;
+    for (const auto& [key, bytes] : driver.progress)
+        largest = std::max(largest, bytes.size());
+    BOOST_TEST(largest + maxKeyBytes <= maxRecordBytes);
+
+    cell_driver next;
+    next.now = driver.now;
+    next.progress = driver.progress;
+    for (const auto& [key, bytes] : driver.progress)
+        next.scheduler.restoreProgress(key, bytes);
+    begin(next);
+    BOOST_TEST(next.scheduler.collectStatistics().runningTasks == steps * tasks);
+    for (int i = 0; i < 20; i++) {
+        next.report(worker.id, report);
+        next.runOnce();
+    }
+    BOOST_TEST(next.take<start_action>().empty());
+    BOOST_TEST(next.take<stop_action>().empty());
+    BOOST_TEST(next.scheduler.collectStatistics().runningTasks == steps * tasks);
+
+    uint64_t sequence = 0;
+    for (const running_task& ended : std::exchange(report.running, {}))
+        report.completions.push_back({ ++sequence, ended.task, ended.attempt, completion_kind::done, "" });
+    next.report(worker.id, report);
+    for (int i = 0; i < 5; i++)
+        next.runOnce();
+    BOOST_TEST((next.scheduler.stateOf("j") == job_state::completed));
+    for (const auto& [key, bytes] : next.progress)
+        BOOST_TEST((bytes.empty() || key == "j" || cell::isIncarnationKey(key)));
+}
+
 BOOST_AUTO_TEST_CASE(load_model_of_512_images_of_each_kind_fits_into_a_record)
 {
     constexpr size_t images = 512;
--- a/tests/jobs/world.cpp
+++ b/tests/jobs/world.cpp
@@ -243,8 +243,8 @@
         if (!update.bytes.empty())
             m_progress[update.key] = update.bytes;
         else
-            m_counts.forgottenJobs
-                += static_cast<int>(m_progress.erase(update.key) && !cell::isIncarnationKey(update.key));
+            m_counts.forgottenJobs += static_cast<int>(m_progress.erase(update.key)
+                && !cell::isIncarnationKey(update.key) && !cell::isPartKey(update.key));
     }
     runAfter(randomInt(1, 30), [this, leader] {
         if (!leader->alive)
--- a/tests/jobs/world_election.cpp
+++ b/tests/jobs/world_election.cpp
@@ -223,6 +223,10 @@
     settings.pollWaitMs = 200;
     settings.finishedRetentionMs = m_retentionMs;
     settings.fault = m_settings.fault;
+    // Every other world records its jobs in parts.
+    constexpr int tasksPerSmallRecord = 2;
+    if (m_settings.seed % 2 == 0)
+        settings.tasksPerRecord = tasksPerSmallRecord;
     leader->scheduler = std::make_unique<cell>(settings, m_queues, [this, token](const log_line& line) {
         m_log.push_back(std::to_string(m_now) + " leader=" + std::to_string(token) + " " + line.str());
         noteMove(line.str());
