A job over the store's limit for a record is refused with 413

Callers of such a job got no answer until their timeout: the store rejects the record, and the append was repeated, with the records of other callers in it.

Now the instance that receives the job compares its record with recordBytes and answers 413 (job_too_large) at once; nothing is appended.

Test: job_over_the_limit_of_a_record_is_refused failed with http_frontend.cpp of before (no answer within 1.5 s, 13 rejected appends) and passes; a job of half the size is accepted.

--- a/src/scheduler/request/http_frontend.cpp
+++ b/src/scheduler/request/http_frontend.cpp
@@ -231,6 +231,9 @@
     call->request.body.shrink_to_fit();
     call->recordKey = call->id;
     call->recordValue = encodeJob(job);
+    if (platform::encodeKeyedRecord(call->recordKey, call->recordValue).size()
+        > m_context.settings.cell.maxRecordBytes)
+        return answer(call, 413, "", "job_too_large");
     persist(call);
 }
 
