--- a/tests/jobs/jobs_test.cpp
+++ b/tests/jobs/jobs_test.cpp
@@ -6,6 +6,7 @@
 #include "tests/jobs/world.h"
 
 #include <boost/test/unit_test.hpp>
+#include <nlohmann/json.hpp>
 
 using namespace camphorwell;
 using camphorwell::testing::batchQueue;
@@ -900,6 +901,111 @@
     BOOST_TEST(unreadable.coefficient(unreadable.internImage("f"), unreadable.internImage("s")) == 0.5);
 }
 
+// No record exceeds the limit of the store, the next leader knows every attempt, and no record of the job's
+// tasks remains when it is over.
+BOOST_AUTO_TEST_CASE(job_of_three_steps_of_5000_tasks_survives_a_takeover)
+{
+    constexpr int tasks = 5'000;
+    constexpr int steps = 3;
+    constexpr size_t maxRecordBytes = 262'144;
+    constexpr size_t maxKeyBytes = 256;
+    constexpr int maxIterations = 400;
+    job_record job = singleStepJob(tasks);
+    job.spec.steps[0].memoryMb = 1;
+    job.spec.steps.resize(steps, job.spec.steps[0]);
+    worker_record worker = workerRecord(std::string(200, 'w'));
+    worker.capacity = { 1000LL * steps * tasks, 1LL * steps * tasks, 0, 0 };
+    auto begin = [&](cell_driver& driver) {
+        driver.scheduler.addJob("j", job);
+        driver.scheduler.begin(driver.now, driver.now);
+        driver.scheduler.setWorker(worker, driver.now);
+    };
+    cell_driver driver;
+    begin(driver);
+    worker_report report;
+    for (int i = 0; i < maxIterations && report.running.size() < steps * tasks; i++) {
+        driver.report(worker.id, report);
+        driver.runOnce();
+        for (const start_action& start : driver.take<start_action>()) {
+            driver.scheduler.onStarted(start, order_outcome::done, driver.now);
+            report.running.push_back({ start.task, start.attempt, "", 10, 0 });
+        }
+    }
+    BOOST_REQUIRE(report.running.size() == steps * tasks);
+    size_t largest = 0;
+    for (const auto& [key, bytes] : driver.progress)
+        largest = std::max(largest, bytes.size());
+    BOOST_TEST(largest + maxKeyBytes <= maxRecordBytes);
+
+    cell_driver next;
+    next.now = driver.now;
+    next.progress = driver.progress;
+    for (const auto& [key, bytes] : driver.progress)
+        next.scheduler.restoreProgress(key, bytes);
+    begin(next);
+    BOOST_TEST(next.scheduler.collectStatistics().runningTasks == steps * tasks);
+    for (int i = 0; i < 20; i++) {
+        next.report(worker.id, report);
+        next.runOnce();
+    }
+    BOOST_TEST(next.take<start_action>().empty());
+    BOOST_TEST(next.take<stop_action>().empty());
+    BOOST_TEST(next.scheduler.collectStatistics().runningTasks == steps * tasks);
+
+    uint64_t sequence = 0;
+    for (const running_task& ended : std::exchange(report.running, {}))
+        report.completions.push_back({ ++sequence, ended.task, ended.attempt, completion_kind::done, "" });
+    next.report(worker.id, report);
+    for (int i = 0; i < 5; i++)
+        next.runOnce();
+    BOOST_TEST((next.scheduler.stateOf("j") == job_state::completed));
+    for (const auto& [key, bytes] : next.progress)
+        BOOST_TEST((bytes.empty() || key == "j" || cell::isIncarnationKey(key)));
+}
+
+BOOST_AUTO_TEST_CASE(load_model_of_512_images_of_each_kind_fits_into_a_record)
+{
+    constexpr size_t images = 512;
+    constexpr size_t pairsOfImage = 64;
+    constexpr double trueCoefficient = 1.6;
+    constexpr double share = 0.1;
+    interference_model model;
+    std::vector<image_id> latencyCritical;
+    std::vector<image_id> bestEffort;
+    for (size_t i = 0; i < images; i++) {
+        latencyCritical.push_back(model.internImage("watch-" + std::to_string(i)));
+        bestEffort.push_back(model.internImage("tally-" + std::to_string(i)));
+    }
+    for (size_t s = 0; s < images; s++) {
+        for (size_t pair = 0; pair < pairsOfImage; pair++) {
+            // The first pair of each image is seen most.
+            for (int seen = 0; seen < (pair == 0 ? 50 : 1); seen++)
+                model.observeRise(latencyCritical[s], trueCoefficient * share,
+                    { { bestEffort[(s + pair) % images], share } }, 0.08);
+        }
+    }
+    model.refit();
+    std::string bytes;
+    nlohmann::json::to_cbor(
+        nlohmann::json::array({ 1, model.encode(), 10'000.0, nlohmann::json::array() }), bytes);
+    cell_driver driver;
+    driver.scheduler.restoreLoadModel(bytes);
+    std::string encoded = driver.scheduler.encodeLoadModel();
+    constexpr size_t maxRecordBytes = 262'144;
+    constexpr size_t maxKeyBytes = 256;
+    BOOST_TEST(encoded.size() + maxKeyBytes <= maxRecordBytes);
+    BOOST_TEST(encoded.size() > maxRecordBytes / 2);
+    interference_model restored;
+    restored.restore(nlohmann::json::from_cbor(encoded).at(1).get<std::string>());
+    size_t kept = 0;
+    for (size_t s = 0; s < images; s++) {
+        image_id serving = restored.internImage("watch-" + std::to_string(s));
+        image_id filling = restored.internImage("tally-" + std::to_string(s));
+        kept += std::abs(restored.coefficient(filling, serving) - trueCoefficient) < 0.2;
+    }
+    BOOST_TEST(kept == images);
+}
+
 BOOST_AUTO_TEST_CASE(capacity_excess_is_not_reported_for_later_starts)
 {
     std::vector<fleet::observed_attempt> history;
