--- a/tests/jobs/unseen_life_takeover_test.cpp
+++ b/tests/jobs/unseen_life_takeover_test.cpp
@@ -77,6 +77,19 @@
     first.runOnce();
 }
 
+// The second leader, right before the answer of a worker that it has recorded as unreached.
+std::unique_ptr<leader> leaderThatHasRecordedTheWorker(leader& first)
+{
+    startTask(first);
+    confirmTask(first);
+    auto second = std::make_unique<leader>(first, 2);
+    second->runUntil(first.now + 2'000);
+    second->scheduler.setWorker(workerRecord("w"), second->now);
+    second->runOnce();
+    second->take<poll_action>();
+    return second;
+}
+
 } // namespace
 
 // Neither its entry nor a report shows the later life to the lost leader or to the next one.
@@ -119,17 +132,11 @@
     BOOST_TEST(third.take<start_action>().size() == 1);
 }
 
-// The worker answers after it was recorded as not reached.
 BOOST_AUTO_TEST_CASE(no_lease_is_granted_to_a_worker_that_the_next_leader_takes_for_unreached)
 {
     leader first;
-    startTask(first);
-    confirmTask(first);
-    leader second(first, 2);
-    second.runUntil(first.now + 2'000);
-    second.scheduler.setWorker(workerRecord("w"), second.now);
-    second.runOnce();
-    second.take<poll_action>();
+    auto owned = leaderThatHasRecordedTheWorker(first);
+    leader& second = *owned;
     second.report("w", reportOfRunning({ "j", 0, 0, 0 }));
     second.collectActions();
     auto grants = [&] {
@@ -152,13 +159,8 @@
 BOOST_AUTO_TEST_CASE(lease_of_a_worker_that_answers_late_is_extended_once_it_is_recorded_as_reached)
 {
     leader first;
-    startTask(first);
-    confirmTask(first);
-    leader second(first, 2);
-    second.runUntil(first.now + 2'000);
-    second.scheduler.setWorker(workerRecord("w"), second.now);
-    second.runOnce();
-    second.take<poll_action>();
+    auto owned = leaderThatHasRecordedTheWorker(first);
+    leader& second = *owned;
     const ms answeredAt = second.now;
     ms pollAnsweredAt = answeredAt;
     ms grantedAt = 0;
@@ -182,13 +184,8 @@
 BOOST_AUTO_TEST_CASE(a_worker_that_cannot_be_recorded_as_reached_is_polled_at_a_bounded_rate)
 {
     leader first;
-    startTask(first);
-    confirmTask(first);
-    leader second(first, 2);
-    second.runUntil(first.now + 2'000);
-    second.scheduler.setWorker(workerRecord("w"), second.now);
-    second.runOnce();
-    second.take<poll_action>();
+    auto owned = leaderThatHasRecordedTheWorker(first);
+    leader& second = *owned;
     second.report("w", reportOfRunning({ "j", 0, 0, 0 }));
     second.runOnce(false);
     const ms end = second.now + 3'000;
