--- /dev/null
+++ b/review/standin-3/platform_main.cpp
@@ -0,0 +1,254 @@
+// review3-platform: a stand-in for the users' platform on the loopback interface: the log (the project's
+// store_standin) on --port, and worker I on --port + 1 + I. On the log's port also:
+//   GET  /events   what the workers have run (worker.h)
+//   POST /crash    {"worker": ID, "for_ms": N}: the worker loses power, and starts again under its id after N
+// A worker writes its entry every second while it is up. The entry of one that has been silent for three
+// heartbeats is deleted.
+#include "standins/store_standin.h"
+#include "worker.h"
+
+#include <csignal>
+#include <getopt.h>
+#include <iostream>
+#include <list>
+
+namespace {
+
+using namespace camphorwell;
+using nlohmann::json;
+using reply_ptr = std::shared_ptr<http_reply>;
+
+constexpr const char* address = "127.0.0.1";
+constexpr int64_t heartbeatMs = 1000;
+constexpr int64_t entryLifeMs = 3 * heartbeatMs;
+
+struct options {
+    int port = 0;
+    int workers = 3;
+    int64_t maxHoldMs = 6000;
+};
+
+// The queues of the operator's first configuration, of one service each.
+json firstConfiguration()
+{
+    json routes = json::array();
+    int priority = 0;
+    for (const char* name : { "quick", "batch" }) {
+        routes.push_back({ { "Name", name }, { "Host", "localhost" },
+            { "PathPrefix", "/" + std::string(name) + "/" }, { "Kind", "unsafe" }, { "TimeoutMs", 3000 },
+            { "TargetLatencyMs", 500 }, { "Priority", priority }, { "Service", "service" },
+            { "MaxAttempts", 3 }, { "Stretch", 2.0 } });
+        priority += 2;
+    }
+    json services = json::array({ { { "Name", "service" }, { "HealthPath", "/health" }, { "MaxConns", 64 },
+        { "AdmissionCheck", true }, { "Standby", false } } });
+    return { { "Version", 1 }, { "Routes", routes }, { "Services", services },
+        { "Limits", { { "MaxBodyBytes", 262144 } } } };
+}
+
+// The HTTP interface of one worker, and its entry in the store.
+class served_worker {
+public:
+    served_worker(event_loop& loop, store_standin& store, review::worker& served, std::string rack, int port)
+        : m_store(store)
+        , m_worker(served)
+        , m_rack(std::move(rack))
+        , m_port(port)
+        , m_server(loop, {},
+              [this](const http_request& request, const reply_ptr& reply) { serve(request, reply); })
+    {
+    }
+    result<void> listen() { return m_server.listen(address, static_cast<uint16_t>(m_port)); }
+    review::worker& model() { return m_worker; }
+
+    void crash(int64_t forMs)
+    {
+        m_worker.crash();
+        m_backAt = review::nowMs() + forMs;
+    }
+
+    void tick()
+    {
+        int64_t now = review::nowMs();
+        m_worker.advance();
+        if (!m_worker.isUp() && now >= m_backAt)
+            powerOn();
+        answerHolds();
+        if (m_worker.isUp() && now - m_writtenAt >= heartbeatMs)
+            writeEntry();
+        if (m_listed && now - m_writtenAt >= entryLifeMs) {
+            m_listed = false;
+            m_store.put("keyed.servers", m_worker.id(), "");
+        }
+    }
+
+private:
+    struct waiting_hold {
+        json body;
+        int64_t until = 0;
+        reply_ptr reply;
+    };
+
+    // Calls that reached it without power were never received.
+    void powerOn()
+    {
+        m_dark.clear();
+        m_worker.restart();
+        m_beats = 0;
+    }
+
+    void serve(const http_request& request, const reply_ptr& reply)
+    {
+        if (!m_worker.isUp()) {
+            m_dark.push_back(reply);
+            return;
+        }
+        const std::string* expected = request.header("expect-instance");
+        if (expected && *expected != m_worker.id())
+            return reply->send(421, {}, "");
+        json body = json::parse(request.body, nullptr, false);
+        if (!body.is_object())
+            return reply->send(400, {}, "");
+        if (request.path != "/hold") {
+            auto [status, text] = m_worker.order(request.path, body);
+            return reply->send(status, {}, text);
+        }
+        auto [status, text] = m_worker.hold(body, true);
+        int64_t waitMs = body.value("WaitMs", int64_t { 0 });
+        if (status != 200 || waitMs == 0 || m_worker.hasEnds())
+            return reply->send(status, {}, text);
+        m_holds.push_back({ body, review::nowMs() + waitMs, reply });
+    }
+
+    void answerHolds()
+    {
+        for (auto it = m_holds.begin(); it != m_holds.end();) {
+            if (!m_worker.isUp()) {
+                m_dark.push_back(it->reply);
+            } else if (m_worker.hasEnds() || review::nowMs() >= it->until) {
+                auto [status, text] = m_worker.hold(it->body, false);
+                it->reply->send(status, {}, text);
+            } else {
+                ++it;
+                continue;
+            }
+            it = m_holds.erase(it);
+        }
+    }
+
+    void writeEntry()
+    {
+        m_listed = true;
+        m_writtenAt = review::nowMs();
+        json entry { { "Service", "service" },
+            { "Address", std::string(address) + ":" + std::to_string(m_port) }, { "Zone", "north" },
+            { "Version", "v1" }, { "Slots", 8 }, { "State", "ready" }, { "ColdLeftMs", 0 },
+            { "Capacity", { { "Cpu", 8000 }, { "MemMb", 16000 }, { "Gpu", 0 } } },
+            { "Labels", { "a", m_rack } }, { "born", m_worker.born() }, { "Sequence", ++m_beats } };
+        m_store.put("keyed.servers", m_worker.id(), entry.dump());
+    }
+
+    store_standin& m_store;
+    review::worker& m_worker;
+    std::string m_rack;
+    int m_port;
+    http_server m_server;
+    std::list<waiting_hold> m_holds;
+    std::list<reply_ptr> m_dark; // Calls that are never answered.
+    int64_t m_backAt = 0;
+    bool m_listed = false;
+    int64_t m_writtenAt = -heartbeatMs;
+    int64_t m_beats = 0;
+};
+
+class platform_standin {
+public:
+    platform_standin(event_loop& loop, const options& given)
+        : m_options(given)
+        , m_server(loop, { 1 << 22, 60'000 },
+              [this](const http_request& request, const reply_ptr& reply) { serve(request, reply); })
+    {
+        m_store.put("keyed.op", "config", firstConfiguration().dump());
+        for (int i = 0; i < given.workers; i++) {
+            m_models.push_back(std::make_unique<review::worker>(
+                m_record, m_models, "worker-" + std::to_string(i), given.maxHoldMs));
+            m_workers.push_back(std::make_unique<served_worker>(
+                loop, m_store, *m_models.back(), "north-r" + std::to_string(i), given.port + 1 + i));
+        }
+        loop.every(5, [this] {
+            for (auto& each : m_workers)
+                each->tick();
+            m_store.tick();
+        });
+    }
+
+    result<void> listen()
+    {
+        BOOST_LEAF_CHECK(m_server.listen(address, static_cast<uint16_t>(m_options.port)));
+        for (auto& each : m_workers)
+            BOOST_LEAF_CHECK(each->listen());
+        return {};
+    }
+
+private:
+    void serve(const http_request& request, const reply_ptr& reply)
+    {
+        if (request.path == "/events")
+            return reply->send(200, {}, m_record.text());
+        if (request.path == "/crash") {
+            json order = json::parse(request.body, nullptr, false);
+            for (auto& each : m_workers) {
+                if (order.is_object() && each->model().id() == order.value("worker", std::string()))
+                    each->crash(order.value("for_ms", int64_t { 1000 }));
+            }
+            return reply->send(200, {}, "");
+        }
+        if (!m_store.serve(request, reply))
+            reply->send(404, {}, "");
+    }
+
+    options m_options;
+    review::event_record m_record;
+    store_standin m_store;
+    std::vector<std::unique_ptr<review::worker>> m_models;
+    http_server m_server;
+    std::vector<std::unique_ptr<served_worker>> m_workers;
+};
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    const option known[]
+        = { { "port", required_argument, nullptr, 'p' }, { "workers", required_argument, nullptr, 'w' },
+              { "max-hold-ms", required_argument, nullptr, 'h' }, { nullptr, 0, nullptr, 0 } };
+    options given;
+    int code = 0;
+    while ((code = getopt_long(argc, argv, "", known, nullptr)) != -1) {
+        if (code == 'p')
+            given.port = std::stoi(optarg);
+        else if (code == 'w')
+            given.workers = std::stoi(optarg);
+        else if (code == 'h')
+            given.maxHoldMs = std::stoll(optarg);
+        else
+            return 2;
+    }
+    if (given.port <= 0)
+        return 2;
+    std::signal(SIGPIPE, SIG_IGN);
+    event_loop loop;
+    platform_standin platform(loop, given);
+    loop.onSignal(SIGTERM, [&] { loop.stop(); });
+    return boost::leaf::try_handle_all(
+        [&]() -> result<int> {
+            BOOST_LEAF_CHECK(platform.listen());
+            loop.run();
+            return 0;
+        },
+        [](const e_net& error) {
+            std::cerr << error.message << "\n";
+            return 3;
+        },
+        [] { return 3; });
+}
