--- a/review/standin-3/platform_main.cpp
+++ b/review/standin-3/platform_main.cpp
@@ -28,6 +28,25 @@
     int64_t maxHoldMs = 6000;
 };
 
+constexpr size_t recordBytes = 262'144; // RecordBytes
+constexpr size_t callBytes = 2'097'152; // CallBytes
+
+// Whether the records of an append are within the store's limits.
+bool fits(const std::string& body)
+{
+    size_t total = 0;
+    for (size_t at = 0; at + 4 <= body.size();) {
+        size_t length = 0;
+        for (size_t i = 0; i < 4; i++)
+            length = length << 8 | static_cast<unsigned char>(body[at + i]);
+        if (length > recordBytes)
+            return false;
+        total += length;
+        at += 4 + length;
+    }
+    return total <= callBytes;
+}
+
 // The queues of the operator's first configuration, of one service each.
 json firstConfiguration()
 {
@@ -203,6 +222,8 @@
             }
             return reply->send(200, {}, "");
         }
+        if (request.path == "/log-append" && !fits(request.body))
+            return reply->send(400, {}, "");
         if (!m_store.serve(request, reply))
             reply->send(404, {}, "");
     }
--- a/review/standin-3/worker.cpp
+++ b/review/standin-3/worker.cpp
@@ -14,9 +14,11 @@
     constexpr int64_t defaultWorkMs = 200;
     constexpr size_t maxListedEnds = 500;
 
+    // A long checkpoint is recorded by its last digits.
     std::string orDash(const std::string& text)
     {
-        std::string out = text.empty() ? "-" : text;
+        constexpr size_t longest = 200;
+        std::string out = text.empty() ? "-" : text.substr(text.size() > longest ? text.size() - 16 : 0);
         std::replace(out.begin(), out.end(), ' ', '_');
         return out;
     }
@@ -131,8 +133,10 @@
     run_state run;
     run.task = task;
     run.number = number;
-    run.workMs = wordOf(spec, "work_ms", defaultWorkMs);
+    run.workMs = wordOf(spec, "work_ms", defaultWorkMs)
+        + wordOf(spec, "stagger_ms", 0) * std::stoll(task.substr(task.rfind('.') + 1));
     run.saveMs = wordOf(spec, "save_ms", 0);
+    run.saveBytes = static_cast<size_t>(wordOf(spec, "save_bytes", 16));
     run.gangSize = static_cast<size_t>(wordOf(spec, "gang", 0));
     run.checkpoint = body.value("Checkpoint", std::string());
     run.doneMs = run.checkpoint.empty() ? 0 : std::stoll(run.checkpoint, nullptr, 16);
@@ -144,7 +148,7 @@
     return { 200, clockBody() };
 }
 
-// A new value with each `saveMs` of work and at a stop: the work done, in 16 hexadecimal digits.
+// A new value with each `saveMs` of work and at a stop: the work done, in hexadecimal digits.
 void worker::save(run_state& run, int64_t now, bool stopped)
 {
     if (run.saveMs == 0 || run.since == 0)
@@ -153,9 +157,11 @@
     int64_t saved = stopped ? done : done / run.saveMs * run.saveMs;
     if (saved == 0)
         return;
-    char text[32];
-    std::snprintf(text, sizeof text, "%016llx", static_cast<unsigned long long>(saved));
-    run.checkpoint = std::max(run.checkpoint, std::string(text));
+    char digits[17];
+    std::snprintf(digits, sizeof digits, "%016llx", static_cast<unsigned long long>(saved));
+    std::string value(digits);
+    value.insert(0, run.saveBytes - std::min(run.saveBytes, value.size()), '0');
+    run.checkpoint = std::max(run.checkpoint, value);
 }
 
 void worker::end(const std::string& task, const std::string& how)
--- a/review/standin-3/worker.h
+++ b/review/standin-3/worker.h
@@ -3,8 +3,10 @@
 //
 // The payload of a job ("Spec") says how its tasks behave, as words NAME=VALUE:
 //   work_ms   the work of a task (default 200)
+//   stagger_ms  further work of a task for each task before it in its step (default 0)
 //   gang      number of members of its gang (default: no gang)
 //   save_ms   a checkpoint is produced with each such amount of work (default: no checkpoints)
+//   save_bytes  the length of a checkpoint (default 16)
 #pragma once
 
 #include "net/net.h"
@@ -40,6 +42,7 @@
     int64_t number = 0;
     int64_t workMs = 0;
     int64_t saveMs = 0; // 0: no checkpoints.
+    size_t saveBytes = 16;
     size_t gangSize = 0; // 0: no gang.
     int64_t doneMs = 0; // Work done up to `since`.
     int64_t since = 0; // When it began to work; 0: its gang is not complete.
