--- a/review/common-3.sh
+++ b/review/common-3.sh
@@ -34,19 +34,19 @@
 done
 
 in_use() { (exec 3<>"/dev/tcp/127.0.0.1/$1") 2>/dev/null; }
-# The first of 40 free ports. The platform has the first 20, instance I has 20 + I, 25 + I and 30 + I.
+# The first of 130 free ports. The platform has the first 99, instance I has 100 + I, 105 + I and 110 + I.
 base=
 for _ in $(seq 50); do
     candidate=$((20000 + RANDOM % 10000))
     free=1
-    for offset in $(seq 0 39); do
+    for offset in $(seq 0 129); do
         if in_use $((candidate + offset)); then free=0; fi
     done
     if [ $free = 1 ]; then base=$candidate; break; fi
 done
 [ -n "$base" ] || cannot_run "no free ports"
-callers_port() { echo $((base + 20 + $1)); }
-readiness_port() { echo $((base + 25 + $1)); }
+callers_port() { echo $((base + 100 + $1)); }
+readiness_port() { echo $((base + 105 + $1)); }
 
 call() { "$tools/review3-call" "$@"; }
 # logged_call ARGUMENTS: a call whose request and answer stand in record.txt.
@@ -68,7 +68,7 @@
     cat >"$work_dir/$1.json" <<JSON
 { "instance": "front-north-$1", "dataCentre": "north", "address": "127.0.0.1",
   "callers": "127.0.0.1:$(callers_port "$1")", "readiness": "127.0.0.1:$(readiness_port "$1")",
-  "internalPort": $((base + 30 + $1)), "processors": 0.25, "advice": "", "graceSeconds": 6,
+  "internalPort": $((base + 110 + $1)), "processors": 0.25, "advice": "127.0.0.1:$base", "graceSeconds": 6,
   "keepSeconds": 120,
   "store": { "address": "127.0.0.1:$base", "partitions": 8, "callBytes": 2097152, "recordBytes": 262144 },
   "workers": { "maxLeaseMs": 6000, "stopMs": 200, "paceMs": 100, "remoteFactor": 1.5 } }
--- a/review/standin-3/platform_main.cpp
+++ b/review/standin-3/platform_main.cpp
@@ -1,6 +1,10 @@
 // review3-platform: a stand-in for the users' platform on the loopback interface: the log (the project's
 // store_standin) on --port, and worker I on --port + 1 + I. On the log's port also:
 //   GET  /events   what the workers have run (worker.h)
+//   GET  /clock    adds the present time to the events
+//   POST /advise   the advice service: handles one call at a time
+//   POST /advice-times   how it works from now on: {"decide_ms": N, "period_ms": N, "valid_ms": N,
+//                  "permitted": [ID, ...]}; without "permitted" every worker is good
 //   POST /crash    {"worker": ID, "for_ms": N}: the worker loses power, and starts again under its id after N
 // A worker writes its entry every second while it is up. The entry of one that has been silent for three
 // heartbeats is deleted.
@@ -60,7 +64,7 @@
         priority += 2;
     }
     json services = json::array({ { { "Name", "service" }, { "HealthPath", "/health" }, { "MaxConns", 64 },
-        { "AdmissionCheck", true }, { "Standby", false } } });
+        { "AdmissionCheck", false }, { "Standby", false } } });
     return { { "Version", 1 }, { "Routes", routes }, { "Services", services },
         { "Limits", { { "MaxBodyBytes", 262144 } } } };
 }
@@ -180,6 +184,88 @@
     int64_t m_beats = 0;
 };
 
+// The advice service (PROTOCOL.md, POST /advise). Calls wait in turn; 429 when 32 are waiting.
+class advice_service {
+public:
+    void setTimes(const json& times)
+    {
+        m_decideMs = times.value("decide_ms", m_decideMs);
+        m_periodMs = times.value("period_ms", m_periodMs);
+        m_validMs = times.value("valid_ms", m_validMs);
+        m_permitted = times.value("permitted", m_permitted);
+    }
+
+    void serve(const http_request& request, const reply_ptr& reply)
+    {
+        json body = json::parse(request.body, nullptr, false);
+        if (!body.is_object() || !body.contains("Workers"))
+            return reply->send(400, {}, "");
+        if (m_waiting.size() >= maxWaiting)
+            return reply->send(429, {}, "");
+        m_waiting.push_back({ body["Step"], body["Workers"].get<std::vector<std::string>>(), reply });
+    }
+
+    // `bornOf`: the birth of a worker's present life.
+    void tick(const std::function<int64_t(const std::string&)>& bornOf, review::event_record& record)
+    {
+        // A call whose caller has left is not begun.
+        while (!m_busy && !m_waiting.empty() && m_waiting.front().reply->callerDisconnected())
+            m_waiting.pop_front();
+        if (!m_busy && !m_waiting.empty()) {
+            m_busy = true;
+            m_readyAt = review::nowMs() + m_decideMs
+                + m_periodMs * static_cast<int64_t>(m_waiting.front().workers.size());
+        }
+        if (!m_busy || review::nowMs() < m_readyAt)
+            return;
+        m_busy = false;
+        call answered = std::move(m_waiting.front());
+        m_waiting.pop_front();
+        json good = json::array();
+        for (const std::string& worker : answered.workers) {
+            if (!m_permitted.empty() && !m_permitted.contains(worker))
+                continue;
+            std::string ticket = "ticket-" + std::to_string(++m_tickets);
+            m_issued[ticket] = { answered.step, worker, bornOf(worker), review::nowMs() + m_validMs };
+            good.push_back({ worker, ticket });
+        }
+        record.add("advice " + answered.step + " " + std::to_string(answered.workers.size()) + " "
+            + (answered.reply->callerDisconnected() ? "caller_gone" : "answered"));
+        answered.reply->send(200, {}, json { { "Good", good }, { "ValidMs", m_validMs } }.dump());
+    }
+
+    bool isValid(
+        const std::string& worker, const std::string& step, const std::string& ticket, int64_t born) const
+    {
+        auto found = m_issued.find(ticket);
+        return found != m_issued.end() && found->second.step == step && found->second.worker == worker
+            && found->second.born == born && review::nowMs() <= found->second.until;
+    }
+
+private:
+    static constexpr size_t maxWaiting = 32;
+    struct call {
+        std::string step;
+        std::vector<std::string> workers;
+        reply_ptr reply;
+    };
+    struct ticket {
+        std::string step;
+        std::string worker;
+        int64_t born = 0;
+        int64_t until = 0;
+    };
+    int64_t m_decideMs = 100;
+    int64_t m_periodMs = 20;
+    int64_t m_validMs = 3000;
+    std::set<std::string> m_permitted; // Empty: all workers.
+    std::list<call> m_waiting;
+    bool m_busy = false; // The first one is being handled.
+    int64_t m_readyAt = 0;
+    int64_t m_tickets = 0;
+    std::map<std::string, ticket> m_issued;
+};
+
 class platform_standin {
 public:
     platform_standin(event_loop& loop, const options& given)
@@ -191,6 +277,9 @@
         for (int i = 0; i < given.workers; i++) {
             m_models.push_back(std::make_unique<review::worker>(
                 m_record, m_models, "worker-" + std::to_string(i), given.maxHoldMs));
+            m_models.back()->ticketIsValid
+                = [this, id = m_models.back()->id()](const std::string& step, const std::string& ticket,
+                      int64_t born) { return m_advice.isValid(id, step, ticket, born); };
             m_workers.push_back(std::make_unique<served_worker>(
                 loop, m_store, *m_models.back(), "north-r" + std::to_string(i), given.port + 1 + i));
         }
@@ -198,6 +287,7 @@
             for (auto& each : m_workers)
                 each->tick();
             m_store.tick();
+            m_advice.tick([this](const std::string& id) { return bornOf(id); }, m_record);
         });
     }
 
@@ -210,8 +300,29 @@
     }
 
 private:
+    int64_t bornOf(const std::string& id) const
+    {
+        for (const auto& each : m_models) {
+            if (each->id() == id)
+                return each->born();
+        }
+        return 0;
+    }
+
     void serve(const http_request& request, const reply_ptr& reply)
     {
+        if (request.path == "/advise")
+            return m_advice.serve(request, reply);
+        if (request.path == "/advice-times") {
+            json times = json::parse(request.body, nullptr, false);
+            if (times.is_object())
+                m_advice.setTimes(times);
+            return reply->send(200, {}, "");
+        }
+        if (request.path == "/clock") {
+            m_record.add("clock");
+            return reply->send(200, {}, "");
+        }
         if (request.path == "/events")
             return reply->send(200, {}, m_record.text());
         if (request.path == "/crash") {
@@ -231,6 +342,7 @@
     options m_options;
     review::event_record m_record;
     store_standin m_store;
+    advice_service m_advice;
     std::vector<std::unique_ptr<review::worker>> m_models;
     http_server m_server;
     std::vector<std::unique_ptr<served_worker>> m_workers;
--- a/review/standin-3/worker.cpp
+++ b/review/standin-3/worker.cpp
@@ -130,6 +130,10 @@
     if (found != m_running.end() || (highest != m_highestEnded.end() && number <= highest->second))
         return refuse("old");
     std::string spec = body.value("Spec", std::string());
+    std::string step = task.substr(0, task.rfind('.'));
+    if (wordOf(spec, "advised", 0) == 1
+        && !ticketIsValid(step, body.value("Ticket", std::string()), m_bornUnixMs))
+        return refuse("ticket");
     run_state run;
     run.task = task;
     run.number = number;
--- a/review/standin-3/worker.h
+++ b/review/standin-3/worker.h
@@ -6,11 +6,13 @@
 //   stagger_ms  further work of a task for each task before it in its step (default 0)
 //   gang      number of members of its gang (default: no gang)
 //   save_ms   a checkpoint is produced with each such amount of work (default: no checkpoints)
+//   advised   1: a start needs a ticket of the advice service
 //   save_bytes  the length of a checkpoint (default 16)
 #pragma once
 
 #include "net/net.h"
 
+#include <functional>
 #include <map>
 #include <nlohmann/json.hpp>
 #include <string>
@@ -25,6 +27,7 @@
 //   TIME end   WORKER TASK RUN HOW CHECKPOINT
 //   TIME noted WORKER TASK RUN HOW
 //   TIME lost  WORKER TASK RUN        (the worker crashed)
+//   TIME advice STEP WORKERS OUTCOME   (a call of the advice service has been handled)
 // TIME is in milliseconds since the start of the stand-in; an empty text is written as "-".
 class event_record {
 public:
@@ -69,6 +72,8 @@
     bool isUp() const { return m_up; }
     int64_t born() const { return m_bornUnixMs; }
     const std::string& id() const { return m_id; }
+    // Whether the ticket permits this worker, in the life that was born then, to run the step.
+    std::function<bool(const std::string& step, const std::string& ticket, int64_t born)> ticketIsValid;
 
 private:
     struct ended_run {
