--- a/review/common-3.sh
+++ b/review/common-3.sh
@@ -37,7 +37,7 @@
 # The first of 130 free ports. The platform has the first 99, instance I has 100 + I, 105 + I and 110 + I.
 base=
 for _ in $(seq 50); do
-    candidate=$((20000 + RANDOM % 10000))
+    candidate=$((20000 + RANDOM % 75 * 130))
     free=1
     for offset in $(seq 0 129); do
         if in_use $((candidate + offset)); then free=0; fi
