--- a/review/common-3.sh
+++ b/review/common-3.sh
@@ -16,6 +16,7 @@
 
 end_all() {
     local pid
+    rm -f "$work_dir/keep_entries" # Ends the writer of case 15, which is waited for below.
     for pid in "${instance_pid[@]}" $platform_pid; do kill -CONT "$pid" 2>/dev/null; kill -KILL "$pid" 2>/dev/null; done
     wait 2>/dev/null
     rm -rf "$work_dir"
