Scheduler: log the calls to the advice service

Cause: a step that waits for the advice service leaves no trace. longest_wait counts the workers as not_allowed, whether the service was not asked, was slow, refused the call, permitted nobody, or its tickets expired.

Change: advice_asked and advice_answered with the outcome, the workers permitted and the time that the call took; a counter for each outcome.

No call was refused, no start was refused for its ticket: the scheduler's own timeout ends the calls, and its second call waits at the service for the first.

--- a/src/scheduler/process/cell_host_work.cpp
+++ b/src/scheduler/process/cell_host_work.cpp
@@ -227,11 +227,21 @@
         void operator()(const advice_action& request) const
         {
             self.context.counts["advice"]++;
+            auto workers = static_cast<int64_t>(request.workers.size());
+            std::string name = request.step.str();
+            self.context.log.write(log_line("advice_asked").add("step", name).add("workers", workers));
+            ms sentAt = bootNow();
             self.advice.ask(request, adviceTimeoutMs,
-                [&self = self, term = term, request](
+                [&self = self, term = term, request, sentAt](
                     platform::store_outcome outcome, const std::vector<advised_worker>& permitted) {
                     if (!self.leadsInTerm(term))
                         return;
+                    self.context.counts["advice_" + std::string(toString(outcome))]++;
+                    self.context.log.write(log_line("advice_answered")
+                                               .add("step", request.step.str())
+                                               .add("outcome", toString(outcome))
+                                               .add("permitted", static_cast<int64_t>(permitted.size()))
+                                               .add("took_ms", bootNow() - sentAt));
                     if (outcome == platform::store_outcome::done)
                         self.ledCell->onAdvice(request.step, request.workers, permitted, bootNow());
                     else
