Cell: one advice call at a time, given the time that its queue's settings state

Cause: each step made a call of its own as soon as it waited, two at once, and each call was given up after 4 s, whatever the configuration says. The service handles the calls of a machine one after the other. So each call waited there for the other one, and was ended while the service worked on it; the answers came to nobody. A call of more than 4 s could not succeed at all.

Ruled out: tickets that expire (no start was refused), a service that refuses calls (none was), a service that hangs (it handles one call after the other without a pause).

Change: cell_advice.cpp. The cell makes one call at a time. Steps wait for their turn in the cell, so nothing is asked for a cancelled job, about a worker that is full by now or under an old policy. A call is given up after the time that DecideMs and PeriodMs give it and a margin; the time grows when the settings are raised while it waits, and after each call that is given up, since the service may still work on that one. An answer belongs to the life of a worker that was asked about.

Why this works: a call no longer waits for another one of the same machine, and is not ended before the service can have answered it. Each step's turn comes, since the one that has waited longest is next.

--- a/src/jobs/jobs.h
+++ b/src/jobs/jobs.h
@@ -101,6 +101,13 @@
     ms targetLatencyMs = 0;
     bool requiresAdvice = false; // A step may run only on workers that the advice service names for it.
     ms adviceValidMs = 0; // Validity of an answer of the advice service.
+    ms adviceDecideMs = 0; // Time that the advice service takes for a call,
+    ms advicePerWorkerMs = 0; // and for each worker in it.
+    // Time that the advice service takes for a call about so many workers.
+    ms adviceCallMs(size_t workers) const
+    {
+        return adviceDecideMs + advicePerWorkerMs * static_cast<ms>(workers);
+    }
     bool operator==(const queue_policy&) const = default;
 };
 using queue_table = std::map<std::string, queue_policy>; // By name of the queue.
@@ -260,10 +267,15 @@
     ms waitMs = 0;
     uint32_t incarnation = 0;
 };
-// Asks the advice service which of the workers may run the step.
+// Asks the advice service which of the workers may run the step. No other call is under way.
 struct advice_action {
     task_ref step; // `index` is unused.
     std::vector<worker_id> workers;
+    uint64_t call = 0; // Number of the call.
+};
+// Gives up the call to the advice service that is under way: its connection is closed.
+struct abandon_advice_action {
+    uint64_t call = 0;
 };
 // Requests the deletion of the finished job's log records, submissions and cancels, that have been read so
 // far. Sent again when another record of the job is read.
@@ -271,8 +283,8 @@
     job_id job;
     uint32_t recordsRead = 0; // Number of records of the job that this leader has read.
 };
-using action
-    = std::variant<start_action, stop_action, pace_action, poll_action, advice_action, forget_job_action>;
+using action = std::variant<start_action, stop_action, pace_action, poll_action, advice_action,
+    abandon_advice_action, forget_job_action>;
 
 struct advised_worker {
     worker_id worker;
--- a/src/jobs/process/cell.cpp
+++ b/src/jobs/process/cell.cpp
@@ -74,6 +74,7 @@
 void cell::setQueues(std::shared_ptr<const queue_table> queues)
 {
     m_model->queues = std::move(queues);
+    m_model->adjustAdviceCall();
     m_model->placingNeeded = true;
     for (auto& [id, job] : m_model->jobs)
         m_model->failIfAttemptsExhausted(*job);
@@ -131,6 +132,7 @@
     m.reviewSpeeds();
     m.updateSharing();
     m.consolidate();
+    m.reviewAdviceCall();
     if (m.placingNeeded || !m.readySteps.empty())
         m.placeWaiting();
     m.logLongestWait();
--- a/src/jobs/process/cell.h
+++ b/src/jobs/process/cell.h
@@ -8,6 +8,7 @@
 //   cell_incarnations.cpp        workers that have started again and not answered yet
 //   cell_attempts.cpp           attempts: reservations, completions, answers to starts and stops
 //   cell_placing.cpp            dispatch order and choice of workers
+//   cell_advice.cpp             calls to the advice service
 //   cell_speed.cpp              slow and stalled workers
 //   cell_wait_reasons.cpp       why a task waits, for the log
 //   cell_short_task_reserve.cpp capacity that service tasks leave to short tasks
@@ -138,10 +139,10 @@
     void onStopped(const stop_action&, const order_answer&, ms now);
     void onReport(const worker_id&, const worker_report&, ms sentAt, ms now);
     void onPollFailed(const poll_action&, order_outcome, ms now);
-    // `requested` are the workers that were asked about, `advised` those that may run the step.
-    void onAdvice(const task_ref& step, const std::vector<worker_id>& requested,
-        const std::vector<advised_worker>& advised, ms now);
-    void onAdviceFailed(const task_ref& step, ms now);
+    // `advised` are the workers that may run the step, of those that were asked about.
+    void onAdvice(const advice_action&, const std::vector<advised_worker>& advised, ms now);
+    // The call was refused, or ended without an answer. The reason is for the log.
+    void onAdviceFailed(const advice_action&, std::string_view reason, ms now);
 
     // Returns the records to append next, or nothing if there are none or an append is in flight. `onWritten`
     // confirms that the append is durable.
--- a/src/jobs/process/cell_model.h
+++ b/src/jobs/process/cell_model.h
@@ -97,6 +97,25 @@
     ms validUntil = 0;
 };
 
+// A call to the advice service that is under way.
+struct advice_call {
+    advice_action request;
+    std::vector<uint32_t> incarnations; // Of the workers when they were asked about, in the same order.
+    std::string queue;
+    ms sentAt = 0;
+    ms expectedMs = 0; // Time that the call takes; the longest by any settings since it was sent.
+};
+
+// See cell_advice.cpp.
+struct advice_state {
+    std::optional<advice_call> call;
+    uint64_t lastCall = 0; // Number of the last call.
+    ms notBefore = 0; // No call is made before.
+    // Number of calls in a row that were given up. One at first: the service may still handle a call of an
+    // earlier leader on this machine.
+    int backoff = 1;
+};
+
 struct step_run {
     job_run* job = nullptr;
     int64_t occurrence = 0;
@@ -111,7 +130,7 @@
     std::vector<int> waiting; // Indices of the tasks to be placed, in the order in which they began to wait.
     uint32_t gangAttempt = 0;
     std::map<worker_id, advice_answer> advice; // The last answer about each worker.
-    bool adviceRequested = false;
+    ms advisedAt = 0; // When the advice service was last asked; 0: never.
     ms nextAdviceAt = 0;
     int bestEffortClass = -1; // Index from cell_model::bestEffortClasses; negative: not best-effort.
     double speed = 1; // Smoothed speed of its tasks relative to the estimate.
@@ -390,6 +409,7 @@
     std::vector<job_id> jobsToDrop;
     std::vector<job_run*> retiringJobs; // Durably finished jobs, whose attempts may still have to end.
     std::vector<action> actions;
+    advice_state advice;
     bool writeInFlight = false;
     bool begun = false;
     ms renewedAt = 0; // When the last successful renewal of the leadership was sent.
@@ -572,9 +592,18 @@
     bool bestEffortFits(const worker_state&, const step_run&, ms waited) const;
     static bool hasCpuLeft(const worker_state&, const step_spec&);
     static int64_t cpuLeftForBestEffort(const worker_state&);
+
+    // cell_advice.cpp
     const advice_answer* validAdvice(const step_run&, const worker_state&) const;
     size_t countPlacesWithTickets(const step_run&, const task_run&, const queue_policy&) const;
-    void requestAdvice(step_run&, const queue_policy&);
+    step_run* nextStepForAdvice() const;
+    void requestAdvice();
+    void askAbout(step_run&, const queue_policy&);
+    ms allowedAdviceMs() const;
+    void adjustAdviceCall();
+    void reviewAdviceCall();
+    void endAdviceCall(std::string_view outcome, size_t permitted);
+    void storeAdvice(const advice_call&, const std::vector<advised_worker>&, step_run&) const;
 
     // cell_wait_reasons.cpp
     void logLongestWait();
--- a/src/jobs/process/cell_placing.cpp
+++ b/src/jobs/process/cell_placing.cpp
@@ -68,11 +68,6 @@
     constexpr double longLeaseWeight = 2e8; // Penalty for service tasks.
     constexpr double quarantinedWeight = 1e9;
 
-    constexpr ms adviceRetryMs = 500; // After a request that failed, or that there was no worker for.
-    // Time after which a worker that was not permitted may be asked about again. Answers about a step do not
-    // change, but the service may have learnt of the worker late.
-    constexpr ms refusalValidMs = 2000;
-    constexpr double ticketUseShare = 0.9; // Share of a ticket's validity in which starts carry it.
     // Time after which a service task accepts a quarantined worker: a third of the 3 s for which it may wait
     // while there is capacity.
     constexpr ms quarantineWaitMs = 1000;
@@ -419,8 +414,6 @@
     const queue_policy* policy = policyOf(*step.job);
     if (!policy)
         return true;
-    if (policy->requiresAdvice)
-        requestAdvice(step, *policy);
     if (step.spec->gang)
         return placeGang(step);
     std::vector<int> stillWaiting;
@@ -559,101 +552,7 @@
         if (step->waiting.empty())
             unqueue(*step);
     }
-}
-
-// The last answer about the worker's present incarnation, if it is still valid.
-const advice_answer* cell_model::validAdvice(const step_run& step, const worker_state& worker) const
-{
-    auto found = step.advice.find(worker.info.id);
-    bool valid = found != step.advice.end() && found->second.incarnation == worker.incarnation
-        && found->second.validUntil > now;
-    return valid ? &found->second : nullptr;
-}
-
-// Number of tasks of the step, up to those that wait, that could be placed now on workers with tickets.
-size_t cell_model::countPlacesWithTickets(
-    const step_run& step, const task_run& task, const queue_policy& policy) const
-{
-    size_t places = 0;
-    for (const auto& [id, answer] : step.advice) {
-        const worker_state* worker = answer.permitted ? workers.find(id) : nullptr;
-        for (int members = 0;
-             worker && places < step.waiting.size() && scoreIfPlaceable(step, task, policy, *worker, members);
-             members++)
-            places++;
-    }
-    return places;
-}
-
-// Asks the advice service about workers on which a task of the step could be placed, unless those with
-// tickets have room for all tasks that wait. Workers that it has not answered about come first, and among
-// them those of most free capacity, so that each one's turn comes however many are not permitted.
-void cell_model::requestAdvice(step_run& step, const queue_policy& policy)
-{
-    if (step.adviceRequested || now < step.nextAdviceAt || step.waiting.empty())
-        return;
-    const task_run& task = step.tasks[static_cast<size_t>(step.waiting.front())]; // Waits longest.
-    if (countPlacesWithTickets(step, task, policy) >= step.waiting.size())
-        return;
-    struct candidate {
-        ms answeredAt = 0; // 0: never.
-        int64_t negativeFreeCpu = 0; // The most free capacity comes first.
-        worker_id id;
-        auto operator<=>(const candidate&) const = default;
-    };
-    std::vector<candidate> candidates;
-    resources need = reservationOf(*step.spec);
-    for (const worker_state* worker : workers.all()) {
-        if (!usableFor(*worker, step, task) || !need.fits(worker->freeCapacity())
-            || !mayRunOn(step, policy, *worker, 0) || validAdvice(step, *worker))
-            continue;
-        auto last = step.advice.find(worker->info.id);
-        candidates.push_back({ last == step.advice.end() ? 0 : last->second.answeredAt,
-            -worker->freeCapacity().cpuMilli, worker->info.id });
-    }
-    if (candidates.empty()) {
-        step.nextAdviceAt = now + adviceRetryMs;
-        return;
-    }
-    auto count = std::min(candidates.size(), static_cast<size_t>(settings.workersPerAdvice));
-    auto end = candidates.begin() + static_cast<std::ptrdiff_t>(count);
-    std::partial_sort(candidates.begin(), end, candidates.end());
-    advice_action request { step.ref(0), {} };
-    for (auto it = candidates.begin(); it != end; ++it)
-        request.workers.push_back(it->id);
-    step.adviceRequested = true;
-    actions.push_back(std::move(request));
-}
-
-void cell::onAdvice(const task_ref& ref, const std::vector<worker_id>& requested,
-    const std::vector<advised_worker>& advised, ms now)
-{
-    cell_model& m = *m_model;
-    m.now = now;
-    step_run* step = m.findStep(ref);
-    if (!step)
-        return;
-    step->adviceRequested = false;
-    const queue_policy* policy = m.policyOf(*step->job);
-    ms validMs = policy ? static_cast<ms>(static_cast<double>(policy->adviceValidMs) * ticketUseShare) : 0;
-    auto incarnationOf = [&](const worker_id& id) {
-        const worker_state* worker = m.workers.find(id);
-        return worker ? worker->incarnation : 0;
-    };
-    for (const worker_id& id : requested)
-        step->advice[id] = { false, {}, incarnationOf(id), now, now + refusalValidMs };
-    for (const auto& each : advised)
-        step->advice[each.worker] = { true, each.ticket, incarnationOf(each.worker), now, now + validMs };
-    m.placingNeeded = true;
-}
-
-void cell::onAdviceFailed(const task_ref& ref, ms now)
-{
-    m_model->now = now;
-    if (step_run* step = m_model->findStep(ref)) {
-        step->adviceRequested = false;
-        step->nextAdviceAt = now + adviceRetryMs;
-    }
+    requestAdvice();
 }
 
 } // namespace camphorwell
--- a/src/net/connection/http_client.cpp
+++ b/src/net/connection/http_client.cpp
@@ -218,6 +218,22 @@
         startWaitingCalls();
     }
 
+    void endCalls()
+    {
+        std::deque<pending_call> notSent;
+        notSent.swap(waiting);
+        std::vector<connection*> busy;
+        for (const auto& candidate : connections) {
+            if (candidate->busy)
+                busy.push_back(candidate.get());
+        }
+        // A handler may start new calls, on connections of their own.
+        for (connection* conn : busy)
+            failCall(conn);
+        for (pending_call& pending : notSent)
+            pending.callback({});
+    }
+
     // Closes the idle connections that were open when the failed call started.
     void closeOlderIdle(uint64_t failedCall)
     {
@@ -290,6 +306,12 @@
 
 http_client::~http_client() = default;
 
+void http_client::endCalls()
+{
+    auto held = m_state; // A handler may destroy the client.
+    held->endCalls();
+}
+
 void http_client::call(const std::string& method, const std::string& path, const header_list& headers,
     std::string body, int64_t timeoutMs, handler callback)
 {
--- a/src/net/net.h
+++ b/src/net/net.h
@@ -132,6 +132,8 @@
     // has waited for longer than the maximum of the client; it is not sent.
     void call(const std::string& method, const std::string& path, const header_list&, std::string body,
         int64_t timeoutMs, handler);
+    // Ends all calls without a response and closes their connections.
+    void endCalls();
 
     struct state;
 
--- a/src/scheduler/process/cell_host.cpp
+++ b/src/scheduler/process/cell_host.cpp
@@ -239,6 +239,7 @@
     context.counts["cells_lost"]++;
     leaderTerm++;
     ledCell.reset();
+    advice.endCalls();
     recovered = false;
     cursors.clear();
     tombstones = {};
--- a/src/scheduler/process/cell_host_work.cpp
+++ b/src/scheduler/process/cell_host_work.cpp
@@ -17,7 +17,6 @@
     constexpr ms loadModelPeriodMs = 3000; // The load model is appended with progress records.
     constexpr ms tombstonePeriodMs = 4000;
     constexpr size_t maxTombstonesPerAppend = 500;
-    constexpr ms adviceTimeoutMs = 4000;
     constexpr char cancelKeyPrefix = 'x'; // Not a hexadecimal digit, so no job id starts with it.
     constexpr size_t maxUnreadableWorkers = 1000; // Bound on the ids whose errors are remembered.
 
@@ -227,28 +226,24 @@
         void operator()(const advice_action& request) const
         {
             self.context.counts["advice"]++;
-            auto workers = static_cast<int64_t>(request.workers.size());
-            std::string name = request.step.str();
-            self.context.log.write(log_line("advice_asked").add("step", name).add("workers", workers));
-            ms sentAt = bootNow();
-            self.advice.ask(request, adviceTimeoutMs,
-                [&self = self, term = term, request, sentAt](
+            self.advice.ask(request,
+                [&self = self, term = term, request](
                     platform::store_outcome outcome, const std::vector<advised_worker>& permitted) {
                     if (!self.leadsInTerm(term))
                         return;
                     self.context.counts["advice_" + std::string(toString(outcome))]++;
-                    self.context.log.write(log_line("advice_answered")
-                                               .add("step", request.step.str())
-                                               .add("outcome", toString(outcome))
-                                               .add("permitted", static_cast<int64_t>(permitted.size()))
-                                               .add("took_ms", bootNow() - sentAt));
                     if (outcome == platform::store_outcome::done)
-                        self.ledCell->onAdvice(request.step, request.workers, permitted, bootNow());
+                        self.ledCell->onAdvice(request, permitted, bootNow());
                     else
-                        self.ledCell->onAdviceFailed(request.step, bootNow());
+                        self.ledCell->onAdviceFailed(request, toString(outcome), bootNow());
                     self.scheduleFlush();
                 });
         }
+        void operator()(const abandon_advice_action&) const
+        {
+            self.context.counts["advice_abandoned"]++;
+            self.advice.endCalls();
+        }
         void operator()(const forget_job_action& request) const { self.tombstones.request(request); }
     };
     std::visit(performer { *this, leaderTerm }, requested);
--- a/tests/jobs/advice_test.cpp
+++ b/tests/jobs/advice_test.cpp
@@ -1,8 +1,9 @@
-// Which workers the advice service is asked about, and how long its answers are used.
+// Which workers the advice service is asked about, when it is asked, and how long its answers are used.
 #define BOOST_TEST_MODULE advice
 #include "tests/jobs/cell_driver.h"
 
 #include <boost/test/unit_test.hpp>
+#include <deque>
 
 using namespace camphorwell;
 using namespace camphorwell::testing;
@@ -11,21 +12,91 @@
 
 constexpr int workersPerCall = 30; // Of cell_settings::workersPerAdvice.
 constexpr ms longValidityMs = 60'000;
+constexpr ms reportPeriodMs = 100;
 // Users count a task as lost that waits for this long while there is capacity for it.
 constexpr ms longestWaitMs = 3'000;
 
-// The queue `batch`, whose steps need advice, and workers that accept each start.
+// Handles the calls of one machine in turn. A call that was given up is finished if it has begun, and is not
+// begun otherwise.
+struct advice_service {
+    struct ticket {
+        std::string step;
+        worker_id worker;
+        ms validUntil = 0;
+    };
+    struct call {
+        advice_action request;
+        bool abandoned = false;
+    };
+    queue_policy terms; // As the service works, whatever the operator's configuration says.
+    std::function<bool(const worker_id&)> permits = [](const worker_id&) { return true; };
+    std::deque<call> waiting;
+    ms answersAt = 0; // Of the first call, if it has begun; otherwise 0.
+    bool silent = false; // It begins no call.
+    std::map<std::string, ticket> tickets; // All that were issued.
+
+    // Returns the answer that is due.
+    std::optional<std::pair<call, std::vector<advised_worker>>> handle(ms now)
+    {
+        while (answersAt == 0 && !waiting.empty() && waiting.front().abandoned)
+            waiting.pop_front();
+        if (waiting.empty() || silent)
+            return std::nullopt;
+        const std::vector<worker_id>& workers = waiting.front().request.workers;
+        if (answersAt == 0)
+            answersAt = now + terms.adviceCallMs(workers.size());
+        if (now < answersAt)
+            return std::nullopt;
+        answersAt = 0;
+        call answered = waiting.front();
+        waiting.pop_front();
+        std::vector<advised_worker> advised;
+        for (const worker_id& id : answered.request.workers) {
+            if (!permits(id))
+                continue;
+            advised.push_back({ id, "ticket-" + std::to_string(tickets.size()) });
+            tickets[advised.back().ticket] = { answered.request.step.str(), id, now + terms.adviceValidMs };
+        }
+        return std::pair(answered, advised);
+    }
+    bool accepts(const start_action& start, ms now) const
+    {
+        auto found = tickets.find(start.ticket);
+        task_ref step = start.task;
+        step.index = 0;
+        return found != tickets.end() && found->second.worker == start.worker
+            && found->second.step == step.str() && now <= found->second.validUntil;
+    }
+};
+
+// The queue `batch`, whose steps need advice, and workers that accept each start with a valid ticket.
 struct advised_cell : cell_driver {
     std::map<worker_id, worker_report> reports;
-    std::vector<start_action> starts; // All starts so far.
+    std::vector<start_action> starts; // All starts that were accepted.
+    int refusedStarts = 0;
     std::set<worker_id> asked; // Workers that advice was asked for.
-    std::function<bool(const worker_id&)> permits = [](const worker_id&) { return true; };
+    std::vector<advice_action> calls;
+    int abandonedCalls = 0;
+    ms reportedAt = 0;
+    bool callUnderWay = false;
+    advice_service ownService;
+    advice_service* service = &ownService;
+    queue_policy terms = batchQueue()->at("batch");
 
-    explicit advised_cell(ms validityMs)
+    explicit advised_cell(ms validityMs, ms decideMs = 0, ms perWorkerMs = 0)
+    {
+        terms.requiresAdvice = true;
+        terms.adviceValidMs = validityMs;
+        terms.adviceDecideMs = decideMs;
+        terms.advicePerWorkerMs = perWorkerMs;
+        service->terms = terms;
+        configure();
+    }
+    // Passes the terms to the cell.
+    void configure()
     {
         auto table = batchQueue();
-        table->at("batch").requiresAdvice = true;
-        table->at("batch").adviceValidMs = validityMs;
+        table->at("batch") = terms;
         scheduler.setQueues(table);
     }
     void addWorker(worker_record record)
@@ -46,27 +117,74 @@
         for (ms end = now + length; now < end;)
             iterate();
     }
+    // Runs until so many starts were accepted. Returns whether that was within the time.
+    bool runUntilStarted(size_t count, ms atMost)
+    {
+        for (ms end = now + atMost; now < end && starts.size() < count;)
+            iterate();
+        return starts.size() >= count;
+    }
     void iterate()
     {
-        for (auto& [id, current] : reports)
-            report(id, current);
+        if (now - reportedAt >= reportPeriodMs) {
+            reportedAt = now;
+            for (auto& [id, current] : reports)
+                report(id, current);
+        }
         runOnce();
         for (const auto& start : take<start_action>()) {
+            if (!service->accepts(start, now)) {
+                refusedStarts++;
+                scheduler.onStarted(start, order_outcome::bad_ticket, now);
+                continue;
+            }
             starts.push_back(start);
             reports[start.worker].running.push_back({ start.task, start.attempt, "", 100, 0 });
             scheduler.onStarted(start, order_outcome::done, now);
         }
-        for (const auto& request : take<advice_action>()) {
-            BOOST_TEST(request.workers.size() <= workersPerCall);
-            std::vector<advised_worker> advised;
-            for (const worker_id& id : request.workers) {
-                asked.insert(id);
-                if (permits(id))
-                    advised.push_back({ id, "ticket-" + id });
+        take<poll_action>();
+        passOnCalls();
+        while (auto answer = service->handle(now)) {
+            if (answer->first.abandoned)
+                continue;
+            callUnderWay = false;
+            scheduler.onAdvice(answer->first.request, answer->second, now);
+            collectActions();
+            passOnCalls();
+        }
+    }
+    // Gives the calls that the cell asked for to the service.
+    void passOnCalls()
+    {
+        std::vector<action> taken;
+        taken.swap(actions);
+        for (action& each : taken) {
+            if (const auto* request = std::get_if<advice_action>(&each)) {
+                BOOST_TEST(!callUnderWay);
+                BOOST_TEST(request->workers.size() <= workersPerCall);
+                callUnderWay = true;
+                asked.insert(request->workers.begin(), request->workers.end());
+                calls.push_back(*request);
+                service->waiting.push_back({ *request });
+            } else if (std::holds_alternative<abandon_advice_action>(each)) {
+                callUnderWay = false;
+                abandonedCalls++;
+                abandonCalls();
+            } else {
+                actions.push_back(std::move(each));
             }
-            scheduler.onAdvice(request.step, request.workers, advised, now);
         }
     }
+    void abandonCalls()
+    {
+        for (advice_service::call& each : service->waiting)
+            each.abandoned = true;
+    }
+    void addJobs(int count, const job_record& job)
+    {
+        for (int i = 0; i < count; i++)
+            scheduler.addJob("j" + std::to_string(i), job);
+    }
 };
 
 } // namespace
@@ -109,7 +227,7 @@
     advised_cell cell(longestWaitMs);
     cell.addWorkers("refused", 5 * workersPerCall, 8000);
     cell.addWorkers("good", 1, 4000);
-    cell.permits = [](const worker_id& id) { return id.starts_with("good"); };
+    cell.service->permits = [](const worker_id& id) { return id.starts_with("good"); };
     cell.scheduler.begin(cell.now, cell.now);
     cell.scheduler.addJob("j", singleStepJob(1));
     cell.run(longestWaitMs);
@@ -177,7 +295,7 @@
     advised_cell cell(longValidityMs);
     cell.addWorkers("bad", workersPerCall - 3, 8000);
     cell.addWorkers("good", members, 8000);
-    cell.permits = [](const worker_id& id) { return id.starts_with("good"); };
+    cell.service->permits = [](const worker_id& id) { return id.starts_with("good"); };
     cell.scheduler.begin(cell.now, cell.now);
     job_record gang = singleStepJob(members);
     gang.spec.steps[0].gang = true;
@@ -186,3 +304,196 @@
     cell.run(longestWaitMs);
     BOOST_TEST(cell.starts.size() == members);
 }
+
+// Regression: steps that waited for slow advice were never started (review case 12).
+BOOST_AUTO_TEST_CASE(each_step_is_started_whatever_time_the_advice_service_takes)
+{
+    constexpr int tasks = 4;
+    for (ms decideMs : { 0, 50, 2'300, 9'000 }) {
+        for (ms perWorkerMs : { 0, 60, 300 }) {
+            for (ms validMs : { 300, 60'000 }) {
+                for (int jobs : { 1, 12 }) {
+                    advised_cell cell(validMs, decideMs, perWorkerMs);
+                    cell.addWorkers("w", 36, 8000);
+                    cell.scheduler.begin(cell.now, cell.now);
+                    cell.addJobs(jobs, singleStepJob(tasks));
+                    ms callMs = cell.terms.adviceCallMs(workersPerCall);
+                    bool started = cell.runUntilStarted(
+                        static_cast<size_t>(jobs * tasks), 1'000 + jobs * (callMs + 100));
+                    BOOST_TEST(started, decideMs << " " << perWorkerMs << " " << validMs << " " << jobs);
+                    BOOST_TEST(cell.abandonedCalls == 0);
+                    BOOST_TEST(cell.refusedStarts == 0);
+                }
+            }
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(advice_is_awaited_when_its_service_is_slower_than_configured)
+{
+    struct service_times {
+        ms decideMs, perWorkerMs;
+        int slowness;
+    };
+    for (auto [decideMs, perWorkerMs, slowness] :
+        { service_times { 500, 20, 2 }, { 500, 20, 8 }, { 20, 1, 100 } }) {
+        advised_cell cell(3'000, decideMs, perWorkerMs);
+        cell.service->terms.adviceDecideMs *= slowness;
+        cell.service->terms.advicePerWorkerMs *= slowness;
+        cell.addWorkers("w", 36, 8000);
+        cell.scheduler.begin(cell.now, cell.now);
+        cell.addJobs(2, singleStepJob(1));
+        BOOST_TEST(cell.runUntilStarted(2, 6 * cell.service->terms.adviceCallMs(workersPerCall)));
+    }
+}
+
+BOOST_AUTO_TEST_CASE(advice_call_is_awaited_when_its_time_is_raised_while_it_waits)
+{
+    advised_cell cell(3'000, 100, 0);
+    cell.addWorkers("w", 36, 8000);
+    cell.scheduler.begin(cell.now, cell.now);
+    cell.addJobs(1, singleStepJob(1));
+    cell.service->terms.adviceDecideMs = 8'000;
+    cell.run(1'000);
+    BOOST_REQUIRE(cell.callUnderWay);
+    cell.terms.adviceDecideMs = 8'000;
+    cell.configure();
+    BOOST_TEST(cell.runUntilStarted(1, 8'000));
+    BOOST_TEST(cell.calls.size() == 1);
+}
+
+BOOST_AUTO_TEST_CASE(advice_calls_follow_settings_that_change)
+{
+    advised_cell cell(3'000, 500, 20);
+    cell.addWorkers("w", 36, 8000);
+    cell.scheduler.begin(cell.now, cell.now);
+    constexpr int jobs = 20;
+    constexpr ms longestCallMs = 2'000 + 160 * workersPerCall;
+    for (int i = 0; i < jobs; i++) {
+        cell.scheduler.addJob("j" + std::to_string(i), singleStepJob(1));
+        cell.terms.adviceDecideMs = i % 3 * 1'000;
+        cell.terms.advicePerWorkerMs = i % 5 * 40;
+        cell.configure();
+        cell.run(300);
+        cell.service->terms = cell.terms; // The service reads them later.
+    }
+    BOOST_TEST(cell.runUntilStarted(jobs, jobs * longestCallMs));
+}
+
+BOOST_AUTO_TEST_CASE(advice_is_not_asked_for_steps_of_cancelled_jobs)
+{
+    advised_cell cell(3'000, 2'000, 0);
+    cell.addWorkers("w", 36, 8000);
+    cell.scheduler.begin(cell.now, cell.now);
+    cell.addJobs(20, singleStepJob(1));
+    cell.run(500);
+    for (int i = 0; i < 19; i++)
+        cell.scheduler.cancel("j" + std::to_string(i));
+    // The call under way is for the first job.
+    BOOST_TEST(cell.runUntilStarted(1, 2 * 2'000 + 100));
+    BOOST_TEST(cell.starts[0].task.job == "j19");
+    BOOST_TEST(cell.calls.size() == 2);
+}
+
+BOOST_AUTO_TEST_CASE(advice_call_without_an_answer_is_repeated)
+{
+    advised_cell cell(3'000, 100, 0);
+    cell.addWorkers("w", 36, 8000);
+    cell.scheduler.begin(cell.now, cell.now);
+    cell.addJobs(3, singleStepJob(1));
+    cell.service->silent = true;
+    cell.run(20'000);
+    cell.service->silent = false;
+    BOOST_TEST(cell.abandonedCalls >= 2);
+    BOOST_TEST(cell.runUntilStarted(3, 3'000));
+}
+
+BOOST_AUTO_TEST_CASE(advice_call_that_fails_is_repeated_for_each_step)
+{
+    advised_cell cell(3'000, 100, 0);
+    cell.addWorkers("w", 36, 8000);
+    cell.scheduler.begin(cell.now, cell.now);
+    cell.addJobs(3, singleStepJob(1));
+    for (int i = 0; i < 200; i++) {
+        cell.runOnce();
+        for (const auto& request : cell.take<advice_action>()) {
+            cell.calls.push_back(request);
+            cell.scheduler.onAdviceFailed(request, "refused", cell.now);
+        }
+        cell.report("w0", cell.reports["w0"]);
+    }
+    std::set<job_id> jobs;
+    for (const auto& request : cell.calls)
+        jobs.insert(request.step.job);
+    BOOST_TEST(jobs.size() == 3);
+    BOOST_TEST(cell.calls.size() <= 8); // 4 s, and a call every 500 ms at most.
+    BOOST_TEST(cell.runUntilStarted(3, 2'000));
+}
+
+BOOST_AUTO_TEST_CASE(first_advice_call_waits_for_one_of_an_earlier_leader_on_the_machine)
+{
+    advised_cell earlier(3'000, 2'000, 20);
+    earlier.addWorkers("w", 36, 8000);
+    earlier.scheduler.begin(earlier.now, earlier.now);
+    earlier.addJobs(1, singleStepJob(1));
+    earlier.run(200);
+    BOOST_REQUIRE(earlier.callUnderWay);
+    earlier.abandonCalls();
+    advised_cell cell(3'000, 2'000, 20);
+    cell.now = earlier.now;
+    cell.service = earlier.service;
+    cell.addWorkers("w", 36, 8000);
+    cell.scheduler.begin(cell.now, cell.now);
+    cell.addJobs(1, singleStepJob(1));
+    BOOST_TEST(cell.runUntilStarted(1, 2 * cell.terms.adviceCallMs(workersPerCall) + 200));
+    BOOST_TEST(cell.abandonedCalls == 0);
+}
+
+BOOST_AUTO_TEST_CASE(step_that_finds_no_worker_leaves_others_their_turn)
+{
+    advised_cell cell(3'000, 500, 20);
+    cell.addWorkers("w", 60, 8000);
+    cell.scheduler.begin(cell.now, cell.now);
+    cell.service->permits = [](const worker_id&) { return false; };
+    cell.addJobs(2, singleStepJob(1));
+    cell.run(8'000);
+    cell.scheduler.addJob("late", singleStepJob(1));
+    cell.service->permits = [](const worker_id&) { return true; };
+    BOOST_TEST(cell.runUntilStarted(3, 5 * cell.terms.adviceCallMs(workersPerCall)));
+}
+
+BOOST_AUTO_TEST_CASE(queue_of_higher_priority_is_advised_first)
+{
+    advised_cell cell(3'000, 1'000, 0);
+    auto table = batchQueue();
+    table->at("batch") = cell.terms;
+    (*table)["urgent"] = cell.terms;
+    table->at("urgent").name = "urgent";
+    table->at("urgent").priority = 0;
+    cell.scheduler.setQueues(table);
+    cell.addWorkers("w", 36, 8000);
+    cell.scheduler.begin(cell.now, cell.now);
+    cell.addJobs(10, singleStepJob(1));
+    cell.run(1'500);
+    job_record urgent = singleStepJob(1);
+    urgent.queue = "urgent";
+    cell.scheduler.addJob("u", urgent);
+    cell.run(2'000);
+    BOOST_REQUIRE(cell.starts.size() == 3);
+    BOOST_TEST(cell.starts[2].task.job == "u");
+}
+
+BOOST_AUTO_TEST_CASE(answer_about_a_worker_that_starts_again_meanwhile_is_not_used)
+{
+    advised_cell cell(longValidityMs, 1'000, 0);
+    cell.addWorkers("w", 1, 8000);
+    cell.scheduler.begin(cell.now, cell.now);
+    cell.addJobs(1, singleStepJob(1));
+    cell.run(500);
+    BOOST_REQUIRE(cell.callUnderWay);
+    worker_record restarted = workerRecord("w0");
+    restarted.startedUnixMs++;
+    cell.addWorker(restarted);
+    BOOST_TEST(cell.runUntilStarted(1, 3'000));
+    BOOST_TEST(cell.calls.size() == 2);
+}
--- a/tests/platform/foreign_answers_test.cpp
+++ b/tests/platform/foreign_answers_test.cpp
@@ -80,7 +80,7 @@
     platform::store_outcome advise()
     {
         return run<platform::store_outcome>([&](auto done) {
-            advice.ask({ { "5c0e7a21d94b36f8", 0, 0, 0 }, { "w" } }, 2000,
+            advice.ask({ { "5c0e7a21d94b36f8", 0, 0, 0 }, { "w" } },
                 [done](
                     platform::store_outcome outcome, const std::vector<advised_worker>&) { done(outcome); });
         });
