Cell: what the advice service said is kept as long as it is true; calls are short

Each call was about 30 workers, whatever its step needs, while all other steps wait.

Change: whether a worker may run a step is kept for the worker's life. Workers that may come first in the next call; those that may not come last, after 2 s and twice as long with each refusal. A gang asks about up to 100 workers, the protocol's limit, in one call, also about those whose tickets would expire before the answer.

--- a/src/jobs/process/cell.h
+++ b/src/jobs/process/cell.h
@@ -68,7 +68,8 @@
     int tasksPerRecord = 128;
     // The time after which a change of pace is in effect.
     ms paceDelayMs = 100;
-    // Maximum number of workers in one request to the advice service.
+    // Maximum number of workers in one request to the advice service, for a gang and for another step.
+    int workersPerGangAdvice = 100;
     int workersPerAdvice = 30;
     cell_fault fault = cell_fault::none;
     // Factor by which a task takes longer far from its data.
--- a/src/jobs/process/cell_advice.cpp
+++ b/src/jobs/process/cell_advice.cpp
@@ -6,6 +6,11 @@
 // moment, under the present policy. The step that has waited longest is next, with a start for queues of
 // higher priority.
 //
+// What the service said about a worker holds for the worker's present life, longer than the ticket. Workers
+// that may run the step come first in its next call, and those that may not come last and ever more rarely. A
+// call is about as many workers as its step is likely to need, or as many as double its time if that is more,
+// since all other steps wait meanwhile.
+//
 // A call is given up only after the time that it takes and a margin. The service may still work on a call
 // that was given up, or on one of an earlier leader on this machine, and may be slower than configured. So
 // after each call that is given up, the next one gets twice the time, within a limit, and is about half as
@@ -13,6 +18,7 @@
 #include "jobs/process/cell_model.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace camphorwell {
 
@@ -31,20 +37,44 @@
     constexpr ms priorityLevelMs = 5000;
     // Steps that are looked at for one call, which bounds the cost of a search.
     constexpr int maxStepsPerSearch = 8;
-    // Time after which a worker that was not permitted may be asked about again. Answers about a step do not
-    // change, but the service may have learnt of the worker late.
-    constexpr ms refusalValidMs = 2000;
+    // Time after which a worker that was not permitted may be asked about again, doubled with each refusal.
+    // Answers about a step do not change, but the service may have learnt of the worker late.
+    constexpr ms minRefusalMs = 2000;
+    constexpr ms maxRefusalMs = 32'000;
     constexpr double ticketUseShare = 0.9; // Share of a ticket's validity in which starts carry it.
+    // A call is about enough workers for this many times the tasks that wait, as some may be taken meanwhile,
+    // and for this many workers that are permitted.
+    constexpr double placesPerTask = 1.5;
+    constexpr double minPermittedWorkers = 2;
+    constexpr double maxAnswersCounted = 300; // About workers of one queue; earlier ones count less and less.
+    constexpr double serviceMaxShare = 0.34; // Share of a service step that one worker should take.
+
+    // Candidates of a call in the order in which they are asked about.
+    enum class candidate_rank : uint8_t { permitted, unknown, refused };
+
+    struct candidate {
+        candidate_rank rank = candidate_rank::unknown;
+        ms answeredAt = 0;
+        int64_t negativeFreeCpu = 0; // The most free capacity comes first.
+        const worker_state* worker = nullptr;
+        auto key() const { return std::tie(rank, answeredAt, negativeFreeCpu, worker->info.id); }
+    };
 
 } // namespace
 
+// The last answer about the worker's present incarnation.
+const advice_answer* cell_model::lastAdvice(const step_run& step, const worker_state& worker)
+{
+    auto found = step.advice.find(worker.info.id);
+    bool isPresent = found != step.advice.end() && found->second.incarnation == worker.incarnation;
+    return isPresent ? &found->second : nullptr;
+}
+
 // The last answer about the worker's present incarnation, if it is still valid.
 const advice_answer* cell_model::validAdvice(const step_run& step, const worker_state& worker) const
 {
-    auto found = step.advice.find(worker.info.id);
-    bool valid = found != step.advice.end() && found->second.incarnation == worker.incarnation
-        && found->second.validUntil > now;
-    return valid ? &found->second : nullptr;
+    const advice_answer* last = lastAdvice(step, worker);
+    return last && last->validUntil > now ? last : nullptr;
 }
 
 // Number of tasks of the step, up to those that wait, that could be placed now on workers with tickets.
@@ -92,9 +122,29 @@
     }
 }
 
+// Number of tasks of the step that the worker should take, capacity and limits considered.
+double cell_model::placesOn(const step_run& step, const task_run& task, const worker_state& worker) const
+{
+    const step_spec& spec = *step.spec;
+    resources need = reservationOf(spec);
+    resources free = worker.freeCapacity();
+    if (spec.isBestEffort && !bestEffortFits(worker, step, now - task.waitingSince))
+        return 0;
+    auto places = static_cast<double>(step.waiting.size());
+    auto limitBy = [&](int64_t available, int64_t needed) {
+        if (needed > 0)
+            places = std::min(places, static_cast<double>(available / needed));
+    };
+    limitBy(free.cpuMilli, need.cpuMilli);
+    limitBy(free.memoryMb, need.memoryMb);
+    limitBy(free.accelerators, need.accelerators);
+    limitBy(spec.maxPerWorker, spec.maxPerWorker > 0 ? 1 : 0);
+    return spec.isService ? std::min(places, std::ceil(serviceMaxShare * spec.count)) : places;
+}
+
 // Asks about workers on which a task of the step could be placed, unless those with tickets have room for all
-// tasks that wait. Workers that the service has not answered about come first, and among them those of most
-// free capacity, so that each one's turn comes however many are not permitted.
+// tasks that wait. All members of a gang are placed at once, so its tickets must not expire before the
+// answer.
 void cell_model::askAbout(step_run& step, const queue_policy& policy)
 {
     const task_run& task = step.tasks[static_cast<size_t>(*firstStartableTask(step))];
@@ -102,55 +152,74 @@
         step.nextAdviceAt = now + placementWaitMs;
         return;
     }
-    struct candidate {
-        ms answeredAt = 0; // 0: never.
-        int64_t negativeFreeCpu = 0; // The most free capacity comes first.
-        const worker_state* worker = nullptr;
-        auto key() const { return std::tie(answeredAt, negativeFreeCpu, worker->info.id); }
-    };
+    int maxWorkers = step.spec->gang ? settings.workersPerGangAdvice : settings.workersPerAdvice;
+    auto limit = static_cast<size_t>(std::max(1, maxWorkers >> advice.backoff));
+    ms neededUntil = step.spec->gang ? now + policy.adviceCallMs(limit) : now;
     std::vector<candidate> candidates;
     resources need = reservationOf(*step.spec);
     for (const worker_state* worker : workers.all()) {
-        if (!usableFor(*worker, step, task) || !need.fits(worker->freeCapacity())
-            || !mayRunOn(step, policy, *worker, 0) || validAdvice(step, *worker))
+        const advice_answer* valid = validAdvice(step, *worker);
+        bool known = valid && (!valid->permitted || valid->validUntil > neededUntil);
+        if (known || !usableFor(*worker, step, task) || !need.fits(worker->freeCapacity())
+            || !mayRunOn(step, policy, *worker, 0))
             continue;
-        auto last = step.advice.find(worker->info.id);
-        candidates.push_back({ last == step.advice.end() ? 0 : last->second.answeredAt,
-            -worker->freeCapacity().cpuMilli, worker });
+        const advice_answer* last = lastAdvice(step, *worker);
+        candidate_rank rank = !last ? candidate_rank::unknown
+            : last->permitted       ? candidate_rank::permitted
+                                    : candidate_rank::refused;
+        candidates.push_back({ rank, last ? last->answeredAt : 0, -worker->freeCapacity().cpuMilli, worker });
     }
     if (candidates.empty()) {
         step.nextAdviceAt = now + noCandidateRetryMs;
         return;
     }
-    auto limit = static_cast<size_t>(std::max(1, settings.workersPerAdvice >> advice.backoff));
-    candidates = [&] {
-        size_t count = std::min(candidates.size(), limit);
-        auto end = candidates.begin() + static_cast<std::ptrdiff_t>(count);
-        std::partial_sort(candidates.begin(), end, candidates.end(),
-            [](const candidate& a, const candidate& b) { return a.key() < b.key(); });
-        return std::vector<candidate>(candidates.begin(), end);
-    }();
-    advice_action request;
-    request.step = step.ref(0);
-    request.call = ++advice.lastCall;
-    advice.call = advice_call {};
+    auto end = candidates.begin() + static_cast<std::ptrdiff_t>(std::min(candidates.size(), limit));
+    std::partial_sort(candidates.begin(), end, candidates.end(),
+        [](const candidate& a, const candidate& b) { return a.key() < b.key(); });
+    candidates.erase(end, candidates.end());
+    auto cheapCount = policy.advicePerWorkerMs > 0
+        ? static_cast<size_t>(policy.adviceDecideMs / policy.advicePerWorkerMs)
+        : limit;
+    double placesNeeded = placesPerTask * static_cast<double>(step.waiting.size());
+    double places = 0;
+    double permitted = 0;
+    advice_call call;
     for (const candidate& each : candidates) {
-        request.workers.push_back(each.worker->info.id);
-        advice.call->incarnations.push_back(each.worker->incarnation);
+        bool isRefused = each.rank == candidate_rank::refused;
+        bool suffices = places >= placesNeeded && permitted >= minPermittedWorkers;
+        if (call.request.workers.size() >= std::max<size_t>(1, cheapCount) && (suffices || isRefused))
+            break;
+        double chance = each.rank == candidate_rank::permitted ? 1
+            : isRefused                                        ? 0
+                                                               : permittedShare(policy.name);
+        permitted += chance;
+        places += chance * placesOn(step, task, *each.worker);
+        call.request.workers.push_back(each.worker->info.id);
+        call.incarnations.push_back(each.worker->incarnation);
     }
+    call.request.step = step.ref(0);
+    call.request.call = ++advice.lastCall;
+    call.queue = policy.name;
+    call.sentAt = now;
+    call.expectedMs = policy.adviceCallMs(call.request.workers.size());
     step.advisedAt = now;
-    advice.call->request = request;
-    advice.call->queue = policy.name;
-    advice.call->sentAt = now;
-    advice.call->expectedMs = policy.adviceCallMs(request.workers.size());
+    advice.call = call;
     log(log_line("advice_asked")
-            .add("step", request.step.str())
-            .add("call", static_cast<int64_t>(request.call))
-            .add("workers", static_cast<int64_t>(request.workers.size()))
+            .add("step", call.request.step.str())
+            .add("call", static_cast<int64_t>(call.request.call))
+            .add("workers", static_cast<int64_t>(call.request.workers.size()))
             .add("waited_ms", now - task.waitingSince)
-            .add("expected_ms", advice.call->expectedMs)
+            .add("expected_ms", call.expectedMs)
             .add("allowed_ms", allowedAdviceMs()));
-    actions.push_back(std::move(request));
+    actions.push_back(std::move(call.request));
+}
+
+// Share of the queue's workers that the service has permitted, for a step of which nothing is known.
+double cell_model::permittedShare(const std::string& queue) const
+{
+    auto found = advice.answers.find(queue);
+    const advice_answers answers = found == advice.answers.end() ? advice_answers {} : found->second;
+    return (answers.permitted + 1) / (answers.given + 4);
 }
 
 // Time after which the call under way is given up.
@@ -194,22 +263,31 @@
 }
 
 void cell_model::storeAdvice(
-    const advice_call& call, const std::vector<advised_worker>& advised, step_run& step) const
+    const advice_call& call, const std::vector<advised_worker>& advised, step_run& step)
 {
     const queue_policy* policy = policyOf(*step.job);
     ms validMs = policy ? static_cast<ms>(static_cast<double>(policy->adviceValidMs) * ticketUseShare) : 0;
     std::map<worker_id, const advised_worker*> permitted;
     for (const advised_worker& each : advised)
         permitted[each.worker] = &each;
+    advice_answers& answers = advice.answers[call.queue];
     for (size_t i = 0; i < call.request.workers.size(); i++) {
         const worker_id& id = call.request.workers[i];
         auto found = permitted.find(id);
+        advice_answer& last = step.advice[id];
+        answers.given++;
+        answers.permitted += found != permitted.end();
         // The answer is of the incarnation that was asked about, which may have ended since.
+        bool refusedAgain
+            = !last.permitted && last.incarnation == call.incarnations[i] && last.answeredAt > 0;
+        ms refusalMs = refusedAgain ? std::min(2 * last.refusalMs, maxRefusalMs) : minRefusalMs;
         if (found != permitted.end())
-            step.advice[id] = { true, found->second->ticket, call.incarnations[i], now, now + validMs };
+            last = { true, found->second->ticket, call.incarnations[i], now, now + validMs, 0 };
         else
-            step.advice[id] = { false, {}, call.incarnations[i], now, now + refusalValidMs };
+            last = { false, {}, call.incarnations[i], now, now + refusalMs, refusalMs };
     }
+    if (answers.given > maxAnswersCounted)
+        answers = { answers.given / 2, answers.permitted / 2 };
 }
 
 void cell::onAdvice(const advice_action& request, const std::vector<advised_worker>& advised, ms now)
--- a/src/jobs/process/cell_model.h
+++ b/src/jobs/process/cell_model.h
@@ -94,7 +94,8 @@
     std::string ticket; // Empty if the step is not permitted there.
     uint32_t incarnation = 0;
     ms answeredAt = 0;
-    ms validUntil = 0;
+    ms validUntil = 0; // Until then the ticket is used, or the refusal is not questioned.
+    ms refusalMs = 0; // Validity of this refusal.
 };
 
 // A call to the advice service that is under way.
@@ -106,11 +107,18 @@
     ms expectedMs = 0; // Time that the call takes; the longest by any settings since it was sent.
 };
 
+// Answers about workers of one queue, by any step.
+struct advice_answers {
+    double given = 0;
+    double permitted = 0;
+};
+
 // See cell_advice.cpp.
 struct advice_state {
     std::optional<advice_call> call;
     uint64_t lastCall = 0; // Number of the last call.
     ms notBefore = 0; // No call is made before.
+    std::map<std::string, advice_answers> answers; // By queue.
     // Number of calls in a row that were given up. One at first: the service may still handle a call of an
     // earlier leader on this machine.
     int backoff = 1;
@@ -594,7 +602,10 @@
     static int64_t cpuLeftForBestEffort(const worker_state&);
 
     // cell_advice.cpp
+    static const advice_answer* lastAdvice(const step_run&, const worker_state&);
     const advice_answer* validAdvice(const step_run&, const worker_state&) const;
+    double permittedShare(const std::string& queue) const;
+    double placesOn(const step_run&, const task_run&, const worker_state&) const;
     size_t countPlacesWithTickets(const step_run&, const task_run&, const queue_policy&) const;
     step_run* nextStepForAdvice() const;
     void requestAdvice();
@@ -603,7 +614,7 @@
     void adjustAdviceCall();
     void reviewAdviceCall();
     void endAdviceCall(std::string_view outcome, size_t permitted);
-    void storeAdvice(const advice_call&, const std::vector<advised_worker>&, step_run&) const;
+    void storeAdvice(const advice_call&, const std::vector<advised_worker>&, step_run&);
 
     // cell_wait_reasons.cpp
     void logLongestWait();
