Store: a call gets the time that the settings state for it, and its timeout beyond

Where these are longer, no call of the kind ever succeeds: no instance leads, or no job is accepted.

Change: AppendMs, PartitionMbS and ReadMbS reach the settings (appendMs, appendMbPerSecond, readMbPerSecond); the client of the store adds the stated time of a call to its timeout, and counts a call as overdue after it. The timeouts of the leader and of a takeover, and of a record that goes through the aggregator, grow with appendMs.

Measured: calls_to_the_store_get_the_time_that_its_settings_state (appends of 1.7 s, pages of 2.5 s): no task started within 20 s without the settings, one with them. append_gets_the_time_that_the_settings_state (2.4 s): unknown without, accepted with.

--- a/src/scheduler/process/settings.cpp
+++ b/src/scheduler/process/settings.cpp
@@ -30,7 +30,10 @@
             "address": { "type": "string", "pattern": "^[0-9.]+:[0-9]+$" },
             "partitions": { "type": "integer", "minimum": 1, "default": 1 },
             "callBytes": { "type": "integer", "minimum": 65536, "default": 1048576 },
-            "recordBytes": { "type": "integer", "minimum": 4096, "default": 262144 }
+            "recordBytes": { "type": "integer", "minimum": 4096, "default": 262144 },
+            "appendMs": { "type": "number", "minimum": 0, "default": 0 },
+            "appendMbPerSecond": { "type": "number", "minimum": 0, "default": 0 },
+            "readMbPerSecond": { "type": "number", "minimum": 0, "default": 0 }
           }
         },
         "workers": {
@@ -79,6 +82,9 @@
     out.store.partitions = given["store"].value("partitions", 1);
     out.store.maxAppendBytes = given["store"].value("callBytes", size_t { 1 } << 20);
     out.cell.maxRecordBytes = given["store"].value("recordBytes", cell_settings().maxRecordBytes);
+    out.store.appendMs = given["store"].value("appendMs", 0.0);
+    out.store.appendMbPerS = given["store"].value("appendMbPerSecond", 0.0);
+    out.store.readMbPerS = given["store"].value("readMbPerSecond", 0.0);
     json workers = given.value("workers", json::object());
     out.cell.maxLeaseMs = workers.value("maxLeaseMs", ms { 6000 });
     out.cell.leaseMs = workers.value("leaseMs", out.cell.maxLeaseMs - leaseMarginMs);
@@ -87,6 +93,10 @@
     out.cell.remoteFactor = workers.value("remoteFactor", 1.5);
     out.cell.finishedRetentionMs = given["keepSeconds"].get<ms>() * 1000;
     out.election.unstatedLeasesEndMs = earlierGrantWindowMs + worstLeaseMs(out.cell.maxLeaseMs);
+    // A leader's renewals follow each other by an append at least, and a takeover needs several calls.
+    ms appendMs = out.store.appendDurationMs(0);
+    out.election.leaderTimeoutMs += 2 * appendMs;
+    out.election.takeoverTimeoutMs += 3 * appendMs + out.store.readDurationMs(out.store.maxAppendBytes);
     // Among instances that could claim a cell, those with more processor time claim first.
     out.processors = given["processors"];
     double claimShare = std::min(out.processors, noDelayProcessors);
@@ -124,6 +134,9 @@
     compare("advice", current.advice, loaded.advice);
     compare("store.address", current.store.address, loaded.store.address);
     compare("store.partitions", current.store.partitions, loaded.store.partitions);
+    compare("store.appendMs", current.store.appendMs, loaded.store.appendMs);
+    compare("store.appendMbPerSecond", current.store.appendMbPerS, loaded.store.appendMbPerS);
+    compare("store.readMbPerSecond", current.store.readMbPerS, loaded.store.readMbPerS);
     compare("cells", current.cells, loaded.cells);
     return needRestart;
 }
--- a/src/scheduler/request/http_frontend.cpp
+++ b/src/scheduler/request/http_frontend.cpp
@@ -250,7 +250,8 @@
     case store_route::log:
         if (auto aggregator = aggregatorFor(call)) {
             call->sentToAggregator = true;
-            return forward(call, *aggregator, aggregatorTimeoutMs);
+            ms append = m_context.settings.store.appendDurationMs(call->recordValue.size());
+            return forward(call, *aggregator, aggregatorTimeoutMs + 2 * append);
         }
         m_jobLog.append(cellOf(call->id), call->recordKey, call->recordValue, call->deadline,
             [this, call](job_log::outcome outcome) {
--- a/tests/platform/platform_test.cpp
+++ b/tests/platform/platform_test.cpp
@@ -421,6 +421,15 @@
     BOOST_TEST(unchanged[0] == "callers");
 }
 
+BOOST_AUTO_TEST_CASE(a_leader_gets_the_time_of_three_appends_for_a_renewal)
+{
+    json given = json::parse(R"({"instance":"n","dataCentre":"z","address":"10.0.0.1","callers":"10.0.0.1:1",
+        "readiness":"10.0.0.1:2","internalPort":7720,"store":{"address":"10.0.0.2:3","appendMs":1700}})");
+    auto settings = parseSchedulerSettings(given);
+    BOOST_REQUIRE(static_cast<bool>(settings));
+    BOOST_TEST(settings->election.leaderTimeoutMs >= 3 * 1700);
+}
+
 BOOST_AUTO_TEST_CASE(the_settings_template_is_valid)
 {
     std::ifstream in(CAMPHORWELL_SOURCE_DIRECTORY "/deploy/settings.json.template");
--- a/tests/scheduler/job_log_test.cpp
+++ b/tests/scheduler/job_log_test.cpp
@@ -13,17 +13,19 @@
 
 // A store on loopback that answers each request after `delayMs`, or never if it is negative.
 struct slow_store {
-    explicit slow_store(ms delay)
+    explicit slow_store(ms delay, double appendMs = 0)
         : delayMs(delay)
-        , server(loop, {}, [this](const http_request& request, std::shared_ptr<http_reply> reply) {
-            appends += request.path == "/log-append";
-            if (delayMs < 0) {
-                heldReplies.push_back(std::move(reply));
-                return;
-            }
-            loop.after(
-                delayMs, [reply = std::move(reply)] { reply->send(200, {}, R"({"Offset":1,"End":2})"); });
-        })
+        , server(loop, {},
+              [this](const http_request& request, std::shared_ptr<http_reply> reply) {
+                  appends += request.path == "/log-append";
+                  if (delayMs < 0) {
+                      heldReplies.push_back(std::move(reply));
+                      return;
+                  }
+                  loop.after(delayMs,
+                      [reply = std::move(reply)] { reply->send(200, {}, R"({"Offset":1,"End":2})"); });
+              })
+        , store(loop, { "127.0.0.1:" + std::to_string(port), 1, 1 << 20, appendMs })
     {
         settings.instance = "north-1";
         settings.store.address = "127.0.0.1:" + std::to_string(port);
@@ -38,8 +40,7 @@
     std::vector<std::shared_ptr<http_reply>> heldReplies;
     http_server server;
     scheduler_settings settings;
-    platform::store store { loop,
-        platform::store_settings { "127.0.0.1:" + std::to_string(port), 1, 1 << 20 } };
+    platform::store store;
     event_log log { 100 };
     counters counts;
     scheduler_context context { loop, settings, store, log, counts };
@@ -99,3 +100,13 @@
     s.submit(2'000);
     BOOST_TEST(s.store.recentMaxLatencyMs() >= 290);
 }
+
+// Regression: the timeout did not allow for the time that the store's settings state for an append.
+BOOST_AUTO_TEST_CASE(append_gets_the_time_that_the_settings_state)
+{
+    constexpr ms appendMs = 2'400;
+    slow_store s(appendMs, appendMs);
+    auto [outcome, took] = s.submit(2'900);
+    BOOST_TEST((outcome == job_log::outcome::accepted));
+    BOOST_TEST(s.appends == 1);
+}
--- a/tests/scheduler/leader_test.cpp
+++ b/tests/scheduler/leader_test.cpp
@@ -374,3 +374,28 @@
     BOOST_TEST(deletedKeys[1] == cancelKey);
     BOOST_TEST((f.leader.host.stateOf(jobId(1)).value().state == job_state::cancelled));
 }
+
+// Regression: with fixed timeouts, no instance led a cell in a store whose calls take as long as its settings
+// state.
+BOOST_AUTO_TEST_CASE(calls_to_the_store_get_the_time_that_its_settings_state)
+{
+    constexpr ms appendMs = 1'700;
+    constexpr ms pageMs = 2'500;
+    scheduler_settings settings = leaderSettings();
+    settings.store.appendMs = appendMs;
+    settings.store.readMbPerS = 0.42; // A page of a megabyte in 2.5 s.
+    fixture f(settings);
+    f.putJob(0);
+    f.log.intercept = [&](const http_request& request, const reply_ptr& reply) {
+        bool isPage = request.path == "/log-newest";
+        if (!isPage && request.path != "/log-append")
+            return false;
+        f.loop.after(isPage ? pageMs : appendMs, [&f, request, reply] { f.log.serve(request, reply); });
+        return true;
+    };
+    f.log.putWorker("w", workerPort, workerStartMs);
+    f.leader.host.start();
+    f.leader.runUntil(20'000, [&] { return f.worker.starts > 0; });
+    BOOST_TEST(f.worker.starts == 1);
+    BOOST_TEST(f.leader.counts["claim_no_answer"] == 0);
+}
