--- a/src/jobs/process/cell_advice.cpp
+++ b/src/jobs/process/cell_advice.cpp
@@ -49,17 +49,6 @@
     constexpr double maxAnswersCounted = 300; // About workers of one queue; earlier ones count less and less.
     constexpr double serviceMaxShare = 0.34; // Share of a service step that one worker should take.
 
-    // Candidates of a call in the order in which they are asked about.
-    enum class candidate_rank : uint8_t { permitted, unknown, refused };
-
-    struct candidate {
-        candidate_rank rank = candidate_rank::unknown;
-        ms answeredAt = 0;
-        int64_t negativeFreeCpu = 0; // The most free capacity comes first.
-        const worker_state* worker = nullptr;
-        auto key() const { return std::tie(rank, answeredAt, negativeFreeCpu, worker->info.id); }
-    };
-
 } // namespace
 
 // The last answer about the worker's present incarnation.
@@ -122,6 +111,17 @@
     }
 }
 
+// Candidates of a call are ordered by what is known of them.
+enum class cell_model::candidate_rank : uint8_t { permitted, unknown, refused };
+
+struct cell_model::advice_candidate {
+    candidate_rank rank = candidate_rank::unknown;
+    ms answeredAt = 0;
+    int64_t negativeFreeCpu = 0; // The most free capacity comes first.
+    const worker_state* worker = nullptr;
+    auto key() const { return std::tie(rank, answeredAt, negativeFreeCpu, worker->info.id); }
+};
+
 // Number of tasks of the step that the worker should take, capacity and limits considered.
 double cell_model::placesOn(const step_run& step, const task_run& task, const worker_state& worker) const
 {
@@ -142,21 +142,14 @@
     return spec.isService ? std::min(places, std::ceil(serviceMaxShare * spec.count)) : places;
 }
 
-// Asks about workers on which a task of the step could be placed, unless those with tickets have room for all
-// tasks that wait. All members of a gang are placed at once, so its tickets must not expire before the
-// answer.
-void cell_model::askAbout(step_run& step, const queue_policy& policy)
+// The first `limit` workers to ask about, in order. All members of a gang are placed at once, so its tickets
+// must not expire before the answer.
+std::vector<cell_model::advice_candidate> cell_model::adviceCandidates(
+    const step_run& step, const task_run& task, const queue_policy& policy, size_t limit) const
 {
-    const task_run& task = step.tasks[static_cast<size_t>(*firstStartableTask(step))];
-    if (countPlacesWithTickets(step, task, policy) >= step.waiting.size()) {
-        step.nextAdviceAt = now + placementWaitMs;
-        return;
-    }
-    int maxWorkers = step.spec->gang ? settings.workersPerGangAdvice : settings.workersPerAdvice;
-    auto limit = static_cast<size_t>(std::max(1, maxWorkers >> advice.backoff));
     ms neededUntil = step.spec->gang ? now + policy.adviceCallMs(limit) : now;
-    std::vector<candidate> candidates;
     resources need = reservationOf(*step.spec);
+    std::vector<advice_candidate> out;
     for (const worker_state* worker : workers.all()) {
         const advice_answer* valid = validAdvice(step, *worker);
         bool known = valid && (!valid->permitted || valid->validUntil > neededUntil);
@@ -164,50 +157,75 @@
             || !mayRunOn(step, policy, *worker, 0))
             continue;
         const advice_answer* last = lastAdvice(step, *worker);
-        candidate_rank rank = !last ? candidate_rank::unknown
-            : last->permitted       ? candidate_rank::permitted
-                                    : candidate_rank::refused;
-        candidates.push_back({ rank, last ? last->answeredAt : 0, -worker->freeCapacity().cpuMilli, worker });
-    }
-    if (candidates.empty()) {
-        step.nextAdviceAt = now + noCandidateRetryMs;
-        return;
+        candidate_rank rank = candidate_rank::unknown;
+        if (last)
+            rank = last->permitted ? candidate_rank::permitted : candidate_rank::refused;
+        out.push_back({ rank, last ? last->answeredAt : 0, -worker->freeCapacity().cpuMilli, worker });
     }
-    auto end = candidates.begin() + static_cast<std::ptrdiff_t>(std::min(candidates.size(), limit));
-    std::partial_sort(candidates.begin(), end, candidates.end(),
-        [](const candidate& a, const candidate& b) { return a.key() < b.key(); });
-    candidates.erase(end, candidates.end());
-    auto cheapCount = policy.advicePerWorkerMs > 0
-        ? static_cast<size_t>(policy.adviceDecideMs / policy.advicePerWorkerMs)
-        : limit;
+    auto end = out.begin() + static_cast<std::ptrdiff_t>(std::min(out.size(), limit));
+    std::partial_sort(out.begin(), end, out.end(),
+        [](const advice_candidate& a, const advice_candidate& b) { return a.key() < b.key(); });
+    out.erase(end, out.end());
+    return out;
+}
+
+// Number of the candidates that a call should be about.
+size_t cell_model::countWorthAsking(const std::vector<advice_candidate>& candidates, const step_run& step,
+    const task_run& task, const queue_policy& policy) const
+{
+    size_t cheapCount = candidates.size();
+    if (policy.advicePerWorkerMs > 0)
+        cheapCount = static_cast<size_t>(policy.adviceDecideMs / policy.advicePerWorkerMs);
+    cheapCount = std::max<size_t>(1, cheapCount);
     double placesNeeded = placesPerTask * static_cast<double>(step.waiting.size());
+    double usualChance = permittedShare(policy.name);
     double places = 0;
     double permitted = 0;
-    advice_call call;
-    for (const candidate& each : candidates) {
-        bool isRefused = each.rank == candidate_rank::refused;
+    size_t count = 0;
+    for (const advice_candidate& each : candidates) {
         bool suffices = places >= placesNeeded && permitted >= minPermittedWorkers;
-        if (call.request.workers.size() >= std::max<size_t>(1, cheapCount) && (suffices || isRefused))
+        bool isRefused = each.rank == candidate_rank::refused;
+        if (count >= cheapCount && (suffices || isRefused))
             break;
-        double chance = each.rank == candidate_rank::permitted ? 1
-            : isRefused                                        ? 0
-                                                               : permittedShare(policy.name);
+        double chance = isRefused ? 0 : usualChance;
+        if (each.rank == candidate_rank::permitted)
+            chance = 1;
         permitted += chance;
         places += chance * placesOn(step, task, *each.worker);
+        count++;
+    }
+    return count;
+}
+
+// Asks about workers on which a task of the step could be placed, unless those with tickets have room for all
+// tasks that wait.
+void cell_model::askAbout(step_run& step, const queue_policy& policy)
+{
+    const task_run& task = step.tasks[static_cast<size_t>(*firstStartableTask(step))];
+    if (countPlacesWithTickets(step, task, policy) >= step.waiting.size()) {
+        step.nextAdviceAt = now + placementWaitMs;
+        return;
+    }
+    int maxWorkers = step.spec->gang ? settings.workersPerGangAdvice : settings.workersPerAdvice;
+    auto limit = static_cast<size_t>(std::max(1, maxWorkers >> advice.backoff));
+    std::vector<advice_candidate> candidates = adviceCandidates(step, task, policy, limit);
+    if (candidates.empty()) {
+        step.nextAdviceAt = now + noCandidateRetryMs;
+        return;
+    }
+    candidates.resize(countWorthAsking(candidates, step, task, policy));
+    advice_call call { { step.ref(0), {}, ++advice.lastCall }, {}, policy.name, now };
+    for (const advice_candidate& each : candidates) {
         call.request.workers.push_back(each.worker->info.id);
         call.incarnations.push_back(each.worker->incarnation);
     }
-    call.request.step = step.ref(0);
-    call.request.call = ++advice.lastCall;
-    call.queue = policy.name;
-    call.sentAt = now;
-    call.expectedMs = policy.adviceCallMs(call.request.workers.size());
+    call.expectedMs = policy.adviceCallMs(candidates.size());
     step.advisedAt = now;
     advice.call = call;
     log(log_line("advice_asked")
             .add("step", call.request.step.str())
             .add("call", static_cast<int64_t>(call.request.call))
-            .add("workers", static_cast<int64_t>(call.request.workers.size()))
+            .add("workers", static_cast<int64_t>(candidates.size()))
             .add("waited_ms", now - task.waitingSince)
             .add("expected_ms", call.expectedMs)
             .add("allowed_ms", allowedAdviceMs()));
--- a/src/jobs/process/cell_model.h
+++ b/src/jobs/process/cell_model.h
@@ -609,6 +609,12 @@
     size_t countPlacesWithTickets(const step_run&, const task_run&, const queue_policy&) const;
     step_run* nextStepForAdvice() const;
     void requestAdvice();
+    enum class candidate_rank : uint8_t;
+    struct advice_candidate;
+    std::vector<advice_candidate> adviceCandidates(
+        const step_run&, const task_run&, const queue_policy&, size_t limit) const;
+    size_t countWorthAsking(
+        const std::vector<advice_candidate>&, const step_run&, const task_run&, const queue_policy&) const;
     void askAbout(step_run&, const queue_policy&);
     ms allowedAdviceMs() const;
     void adjustAdviceCall();
