Cell: find the steps whose turn it is to ask for advice in one pass

Cause: each placement pass looked through all waiting steps up to eight times, also where no queue requires advice, which costs time on instances of 0.1 core.

Change: one pass, and none where no queue requires advice. The order is the same.

Measured: advice_test passes.

--- a/src/jobs/process/cell.cpp
+++ b/src/jobs/process/cell.cpp
@@ -74,7 +74,7 @@
 void cell::setQueues(std::shared_ptr<const queue_table> queues)
 {
     m_model->queues = std::move(queues);
-    m_model->adjustAdviceCall();
+    m_model->applyAdvicePolicies();
     m_model->placingNeeded = true;
     for (auto& [id, job] : m_model->jobs)
         m_model->failIfAttemptsExhausted(*job);
@@ -108,6 +108,7 @@
     setClock(now, unixMs);
     m_model->begun = true;
     m_model->beganAt = now;
+    m_model->applyAdvicePolicies();
     for (auto& [id, job] : m_model->jobs) {
         if (!job->hasRecord && !job->isOver())
             m_model->log(log_line("progress_without_job").add("job", id));
--- a/src/jobs/process/cell_advice.cpp
+++ b/src/jobs/process/cell_advice.cpp
@@ -36,7 +36,7 @@
     // A step waits this much longer for its turn for each level that its queue's priority is lower.
     constexpr ms priorityLevelMs = 5000;
     // Steps that are looked at for one call, which bounds the cost of a search.
-    constexpr int maxStepsPerSearch = 8;
+    constexpr size_t maxStepsPerSearch = 8;
     // Time after which a worker that was not permitted may be asked about again, doubled with each refusal.
     // Answers about a step do not change, but the service may have learnt of the worker late.
     constexpr ms minRefusalMs = 2000;
@@ -81,33 +81,42 @@
     return places;
 }
 
-// The step whose turn it is to ask, or null if none waits for advice.
-step_run* cell_model::nextStepForAdvice() const
+// The steps that wait for advice and whose turn comes first, in order.
+std::vector<step_run*> cell_model::nextStepsForAdvice() const
 {
-    step_run* next = nullptr;
-    ms nextTurn = 0;
-    for (const auto& [key, step] : readySteps) {
+    struct turn {
+        ms at = 0;
+        size_t position = 0; // In the dispatch order, which breaks ties.
+        step_run* step = nullptr;
+        auto key() const { return std::pair(at, position); }
+    };
+    std::vector<turn> turns;
+    for (const auto& [dispatchKey, step] : readySteps) {
         const queue_policy* policy = policyOf(*step->job);
         if (!policy || !policy->requiresAdvice || now < step->nextAdviceAt || !firstStartableTask(*step))
             continue;
         const task_run& longest = step->tasks[static_cast<size_t>(step->waiting.front())];
-        ms turn = std::max(longest.waitingSince, step->advisedAt) + policy->priority * priorityLevelMs;
-        if (!next || turn < nextTurn) {
-            next = step;
-            nextTurn = turn;
-        }
+        ms waitsSince = std::max(longest.waitingSince, step->advisedAt);
+        turns.push_back({ waitsSince + policy->priority * priorityLevelMs, turns.size(), step });
     }
-    return next;
+    size_t count = std::min(turns.size(), maxStepsPerSearch);
+    std::partial_sort(turns.begin(), turns.begin() + static_cast<std::ptrdiff_t>(count), turns.end(),
+        [](const turn& a, const turn& b) { return a.key() < b.key(); });
+    std::vector<step_run*> out;
+    for (size_t i = 0; i < count; i++)
+        out.push_back(turns[i].step);
+    return out;
 }
 
 // Asks the advice service about the step whose turn it is, unless a call is under way.
 void cell_model::requestAdvice()
 {
-    for (int i = 0; i < maxStepsPerSearch && !advice.call && now >= advice.notBefore; i++) {
-        step_run* step = nextStepForAdvice();
-        if (!step)
-            return;
+    if (!advice.inUse || advice.call || now < advice.notBefore)
+        return;
+    for (step_run* step : nextStepsForAdvice()) {
         askAbout(*step, *policyOf(*step->job));
+        if (advice.call)
+            return;
     }
 }
 
@@ -247,9 +256,11 @@
     return usual + std::min(usual * ((1 << advice.backoff) - 1), maxExtraMs);
 }
 
-// A call that the service handles under new settings may take longer.
-void cell_model::adjustAdviceCall()
+// The service may handle the call under way by the new policies, and take longer.
+void cell_model::applyAdvicePolicies()
 {
+    advice.inUse = std::any_of(
+        queues->begin(), queues->end(), [](const auto& entry) { return entry.second.requiresAdvice; });
     if (!advice.call)
         return;
     auto found = queues->find(advice.call->queue);
--- a/src/jobs/process/cell_model.h
+++ b/src/jobs/process/cell_model.h
@@ -115,6 +115,7 @@
 
 // See cell_advice.cpp.
 struct advice_state {
+    bool inUse = false; // A queue requires advice.
     std::optional<advice_call> call;
     uint64_t lastCall = 0; // Number of the last call.
     ms notBefore = 0; // No call is made before.
@@ -607,7 +608,7 @@
     double permittedShare(const std::string& queue) const;
     double placesOn(const step_run&, const task_run&, const worker_state&) const;
     size_t countPlacesWithTickets(const step_run&, const task_run&, const queue_policy&) const;
-    step_run* nextStepForAdvice() const;
+    std::vector<step_run*> nextStepsForAdvice() const;
     void requestAdvice();
     enum class candidate_rank : uint8_t;
     struct advice_candidate;
@@ -617,7 +618,7 @@
         const std::vector<advice_candidate>&, const step_run&, const task_run&, const queue_policy&) const;
     void askAbout(step_run&, const queue_policy&);
     ms allowedAdviceMs() const;
-    void adjustAdviceCall();
+    void applyAdvicePolicies();
     void reviewAdviceCall();
     void endAdviceCall(std::string_view outcome, size_t permitted);
     void storeAdvice(const advice_call&, const std::vector<advised_worker>&, step_run&);
