Cell: remember that the advice service is slower than configured

Cause: after an answer that came later than the settings allow, the next call had the usual time again, so two of three calls to a service that is slower than configured were given up while it worked on them.

Change: the longer time, and the smaller number of workers, hold until a call is answered in the usual time.

--- a/src/jobs/process/cell_advice.cpp
+++ b/src/jobs/process/cell_advice.cpp
@@ -327,7 +327,9 @@
         return;
     advice_call call = *m.advice.call;
     m.endAdviceCall("done", advised.size());
-    m.advice.backoff = 0;
+    // A service that took longer than it should is likely to take as long again.
+    if (now - call.sentAt <= call.expectedMs + callMarginMs)
+        m.advice.backoff = 0;
     if (step_run* step = m.findStep(request.step))
         m.storeAdvice(call, advised, *step);
     m.placingNeeded = true;
--- a/tests/jobs/advice_test.cpp
+++ b/tests/jobs/advice_test.cpp
@@ -350,6 +350,19 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(slowness_of_the_advice_service_is_remembered)
+{
+    constexpr int jobs = 10;
+    advised_cell cell(3'000, 500, 60);
+    cell.service->terms.adviceDecideMs = 2'500;
+    cell.service->terms.advicePerWorkerMs = 200;
+    cell.addWorkers("w", 36, 8000);
+    cell.scheduler.begin(cell.now, cell.now);
+    cell.addJobs(jobs, singleStepJob(4));
+    BOOST_TEST(cell.runUntilStarted(4 * jobs, jobs * 5'000 + 20'000));
+    BOOST_TEST(cell.abandonedCalls <= 3);
+}
+
 BOOST_AUTO_TEST_CASE(advice_call_is_awaited_when_its_time_is_raised_while_it_waits)
 {
     advised_cell cell(3'000, 100, 0);
