Worlds: queues that need advice

No world drew advice, so that calls that wait, fail or are given up met neither a leader that is killed nor a worker that is lost. A start needs a valid ticket of the worker's present life. While a task waits beside capacity that it may use, the service must not be idle for 10 s, and all jobs finish.

--- a/tests/jobs/main.cpp
+++ b/tests/jobs/main.cpp
@@ -9,11 +9,12 @@
 {
     using namespace camphorwell::testing;
     using camphorwell::cell_fault;
-    const option options[] = { { "from", required_argument, nullptr, 'f' },
-        { "count", required_argument, nullptr, 'c' }, { "jobs", required_argument, nullptr, 'j' },
-        { "workers", required_argument, nullptr, 'w' }, { "trace", required_argument, nullptr, 't' },
-        { "fault", required_argument, nullptr, 'd' }, { "late-orders", no_argument, nullptr, 'l' },
-        { "late-entries", no_argument, nullptr, 'e' }, { nullptr, 0, nullptr, 0 } };
+    const option options[]
+        = { { "from", required_argument, nullptr, 'f' }, { "count", required_argument, nullptr, 'c' },
+              { "jobs", required_argument, nullptr, 'j' }, { "workers", required_argument, nullptr, 'w' },
+              { "trace", required_argument, nullptr, 't' }, { "fault", required_argument, nullptr, 'd' },
+              { "late-orders", no_argument, nullptr, 'l' }, { "late-entries", no_argument, nullptr, 'e' },
+              { "advice", no_argument, nullptr, 'a' }, { nullptr, 0, nullptr, 0 } };
     uint64_t firstSeed = 1;
     uint64_t count = 100;
     world_settings settings;
@@ -42,6 +43,10 @@
         case 'e':
             settings.entriesLag = true;
             break;
+        case 'a':
+            settings.hasAdvice = true;
+            settings.settlePhase = world_settings::adviceSettlePhase;
+            break;
         case 'd':
             settings.fault = static_cast<cell_fault>(std::stoi(optarg));
             break;
@@ -51,6 +56,7 @@
                    "                          [--fault N]      injects a deliberate fault (cell_fault)\n"
                    "                          [--late-orders]  late orders reach later incarnations\n"
                    "                          [--late-entries] entries of workers appear late\n"
+                   "                          [--advice]       steps of some queues need advice\n"
                    "                          [--trace TEXT]   prints the log lines that contain TEXT\n";
             return 2;
         }
@@ -79,6 +85,8 @@
               << " checked losses of lasting tasks, " << totals.moves << " moves in "
               << totals.worldsWithMoves << " worlds (" << totals.movesOfLimited << " of tasks with a limit, "
               << totals.disturbedMoves << " disturbed), longest checked wait " << totals.longestWaitMs
-              << " ms, " << failedWorlds << " with violated invariants\n";
+              << " ms, " << totals.adviceCalls << " calls for advice (" << totals.abandonedAdviceCalls
+              << " given up), longest wait of a task that needs it " << totals.longestAdviceWaitMs << " ms, "
+              << failedWorlds << " with violated invariants\n";
     return failedWorlds > 0;
 }
--- a/tests/jobs/world.cpp
+++ b/tests/jobs/world.cpp
@@ -21,8 +21,6 @@
     constexpr ms lastTakeoverMs = 20'000;
     constexpr size_t instances = 3;
     constexpr size_t logPartitions = 3;
-    constexpr const char* quickQueue = "quick";
-    constexpr const char* batchQueue = "batch";
 } // namespace
 
 world_counts& world_counts::operator+=(const world_counts& other)
@@ -38,6 +36,9 @@
     disturbedMoves += other.disturbedMoves;
     worldsWithMoves += other.moves > 0;
     longestWaitMs = std::max(longestWaitMs, other.longestWaitMs);
+    adviceCalls += other.adviceCalls;
+    abandonedAdviceCalls += other.abandonedAdviceCalls;
+    longestAdviceWaitMs = std::max(longestAdviceWaitMs, other.longestAdviceWaitMs);
     return *this;
 }
 
@@ -341,6 +342,8 @@
             [this, leader, order = *order, workMs, fails, sentAt, readUpTo, readsSlowUntil](
                 model_worker& worker) {
                 size_t earlierAttempts = m_history.size();
+                if (!mayStart(order, worker))
+                    return order_outcome::bad_ticket;
                 order_outcome outcome = worker.start(
                     order, fencingToken(leader->token, order.incarnation), m_now, workMs, fails);
                 if (m_history.size() > earlierAttempts) {
@@ -371,6 +374,10 @@
             [](const order_answer&) {});
     } else if (const auto* request = std::get_if<forget_job_action>(&requested)) {
         leader->tombstones.request(*request);
+    } else if (const auto* request = std::get_if<advice_action>(&requested)) {
+        askAdvice(leader, *request);
+    } else if (const auto* request = std::get_if<abandon_advice_action>(&requested)) {
+        abandonAdvice(leader, *request);
     } else if (const auto* order = std::get_if<poll_action>(&requested)) {
         auto report = std::make_shared<worker_report>();
         int64_t startedUnixMs = m_workers.at(order->worker)->record.startedUnixMs;
@@ -701,6 +708,8 @@
 
 std::vector<std::string> world::run()
 {
+    if (m_settings.hasAdvice)
+        startAdvice();
     for (size_t number = 0; number < instances; number++)
         startInstance(number);
     ms faultsEnd = m_settings.faultPhase;
@@ -770,6 +779,9 @@
             if (runs(id))
                 reportViolation("cancelled job still runs: " + id);
         } else if (steps[0].isService) {
+            // A task that has ended waits for its turn at the advice service.
+            if (needsAdvice({ id, 0, 0, 0 }))
+                continue;
             for (int index = 0; index < steps[0].count; index++) {
                 bool running
                     = std::any_of(m_history.begin(), m_history.end(), [&](const observed_attempt& attempt) {
--- a/tests/jobs/world.h
+++ b/tests/jobs/world.h
@@ -11,6 +11,7 @@
 // world_election.cpp       instances and their claims
 // world_job_log.cpp        callers, the job log, its readers and its tombstones
 // world_lasting_tasks.cpp  the check that lasting tasks run again in time
+// world_advice.cpp         the advice service, tickets, the check that it is asked
 // world_sharing.cpp        best-effort beside latency-critical tasks, checks of moves and of waits
 #pragma once
 
@@ -18,6 +19,7 @@
 #include "standins/fleet_models.h"
 #include "tests/jobs/keyed_log.h"
 
+#include <deque>
 #include <random>
 
 namespace camphorwell::testing {
@@ -30,6 +32,8 @@
     int workers = 8;
     int jobs = 25;
     ms faultPhase = 25'000; // Faults are injected and jobs submitted during this phase.
+    // With `hasAdvice`: its service handles one call at a time.
+    static constexpr ms adviceSettlePhase = 500'000;
     ms settlePhase = 45'000; // Time after the fault phase in which all jobs must finish.
     bool workersCheckCapacity = true; // Workers refuse starts that exceed their capacity.
     bool hasLatencyCritical = false; // Best-effort tasks interfere with latency-critical ones.
@@ -40,6 +44,7 @@
     // workers fall silent. Orders to a worker that is down reach its later incarnation if that is up in time.
     // Polls wait, and are lost with the incarnation that holds them.
     bool entriesLag = false;
+    bool hasAdvice = false; // Steps of some queues need advice (world_advice.cpp).
     cell_fault fault = cell_fault::none;
 };
 
@@ -56,6 +61,9 @@
     int disturbedMoves = 0;
     int worldsWithMoves = 0;
     ms longestWaitMs = 0; // Longest wait of a task that the check of waits has seen.
+    int adviceCalls = 0;
+    int abandonedAdviceCalls = 0;
+    ms longestAdviceWaitMs = 0; // The same of tasks that need advice.
     world_counts& operator+=(const world_counts&);
 };
 
@@ -71,6 +79,8 @@
 
 private:
     static constexpr int64_t unixOriginMs = 1'700'000'000'000; // Unix time at the virtual time 0.
+    static constexpr const char* quickQueue = "quick";
+    static constexpr const char* batchQueue = "batch";
 
     struct instance;
     using instance_ptr = std::shared_ptr<instance>;
@@ -245,6 +255,51 @@
     bool isLightlyReserved() const;
     void checkFinalState();
     void checkNothingRanAfterItsEnd();
+    // world_advice.cpp
+    struct advice_service {
+        struct call {
+            leader_ptr leader;
+            advice_action request;
+            bool abandoned = false;
+            call(leader_ptr by, advice_action asked)
+                : leader(std::move(by))
+                , request(std::move(asked))
+            {
+            }
+        };
+        // Calls of one machine, the first of which is under way if it is busy.
+        struct line {
+            std::deque<std::shared_ptr<call>> waiting;
+            bool busy = false;
+            ms idleSince = 0;
+        };
+        struct ticket {
+            task_ref step;
+            worker_id worker;
+            int64_t startedUnixMs = 0; // Of the worker's incarnation.
+            ms validUntil = 0;
+        };
+        queue_table terms; // As the service works.
+        std::map<size_t, line> lines;
+        std::map<std::string, ticket> tickets; // All that were issued.
+        ms failsUntil = 0; // Calls are refused.
+        ms silentUntil = 0; // No call is begun.
+        ms slowUntil = 0;
+        ms slowness = 1; // Factor until `slowUntil`.
+    };
+    void startAdvice();
+    void drawAdviceTerms(queue_policy&);
+    void disturbAdvice();
+    void changeAdviceTerms();
+    bool needsAdvice(const task_ref&) const;
+    bool mayRunOn(const task_ref&, const worker_id&) const;
+    bool mayStart(const start_action&, const model_worker&) const;
+    void askAdvice(const leader_ptr&, const advice_action&);
+    void abandonAdvice(const leader_ptr&, const abandon_advice_action&);
+    void beginAdvice(size_t machine);
+    void finishAdvice(size_t machine, const std::shared_ptr<advice_service::call>&);
+    bool fitsTwiceWithAdvice(const task_ref&) const;
+    void checkAdvice();
     void reportViolation(std::string);
     const step_spec* stepOf(const task_ref&) const;
 
@@ -288,6 +343,8 @@
     ms m_storeDownUntil = 0;
     std::vector<leader_ptr> m_leaders;
     std::shared_ptr<queue_table> m_queues;
+    advice_service m_advice;
+    std::map<task_ref, ms> m_adviceDueSince; // As m_dueSince, for tasks that need advice.
     std::vector<std::string> m_violations;
     std::set<std::string> m_reported; // The texts in `m_violations`.
     std::vector<std::string> m_log;
--- a/tests/jobs/world_lasting_tasks.cpp
+++ b/tests/jobs/world_lasting_tasks.cpp
@@ -68,7 +68,8 @@
     }
     for (const auto& [task, attempt] : last) {
         const submitted_job& job = m_jobs.at(task.job);
-        if (!attempt->endedAt || job.cancelledAt || job.end || !hadRoom(task, m_now - roomMs))
+        if (!attempt->endedAt || job.cancelledAt || job.end || needsAdvice(task)
+            || !hadRoom(task, m_now - roomMs))
             continue;
         if (m_now - *attempt->endedAt > longestAbsenceMs)
             reportViolation("lasting task stays away: " + task.str() + " after attempt "
--- a/tests/jobs/world_sharing.cpp
+++ b/tests/jobs/world_sharing.cpp
@@ -241,6 +241,8 @@
     }
     std::map<task_ref, ms> dueSince;
     for (const task_ref& task : tasksDue()) {
+        if (needsAdvice(task))
+            continue;
         auto found = m_dueSince.find(task);
         ms since = found == m_dueSince.end() ? m_now : found->second;
         dueSince[task] = since;
