Cell: steps that no worker can take do not keep others from advice

Cause: a search looked at the eight steps whose turn came first, and at those without a worker to ask about again after 500 ms, before it came to the others.

Change: steps that exceed what is free in their service, for their label, are left out at once; a step without a worker to ask about is looked at again only after all others could be.

--- a/src/jobs/process/cell_advice.cpp
+++ b/src/jobs/process/cell_advice.cpp
@@ -25,7 +25,7 @@
 namespace {
 
     constexpr ms failureRetryMs = 500; // After a call that the service refused or that could not be sent.
-    constexpr ms noCandidateRetryMs = 500; // For a step without a worker to ask about.
+    constexpr ms noCandidateRetryMs = 500; // At least, for a step without a worker to ask about.
     // For a step whose tickets suffice: within this time a placement pass has used them, or they do not.
     constexpr ms placementWaitMs = 100;
     // Delays of the network and of this instance, on top of the time that a call takes at the service.
@@ -35,8 +35,10 @@
     constexpr int maxBackoff = 3;
     // A step waits this much longer for its turn for each level that its queue's priority is lower.
     constexpr ms priorityLevelMs = 5000;
-    // Steps that are looked at for one call, which bounds the cost of a search.
-    constexpr size_t maxStepsPerSearch = 8;
+    // Bounds on the cost of a search: steps for which candidates are collected, and workers looked at for
+    // them.
+    constexpr size_t minStepsPerSearch = 8;
+    constexpr size_t maxLooksPerSearch = 10'000;
     // Time after which a worker that was not permitted may be asked about again, doubled with each refusal.
     // Answers about a step do not change, but the service may have learnt of the worker late.
     constexpr ms minRefusalMs = 2000;
@@ -81,8 +83,31 @@
     return places;
 }
 
-// The steps that wait for advice and whose turn comes first, in order.
-std::vector<step_run*> cell_model::nextStepsForAdvice() const
+// The most that is free of each resource on any usable worker of a service with a label; the empty label is
+// that of all workers.
+std::map<std::string, std::map<std::string, resources>> cell_model::mostFree() const
+{
+    std::map<std::string, std::map<std::string, resources>> out;
+    for (const worker_state* worker : workers.all()) {
+        if (!usable(*worker))
+            continue;
+        resources free = worker->freeCapacity();
+        std::map<std::string, resources>& ofService = out[worker->info.service];
+        auto raise = [&](const std::string& label) {
+            resources& most = ofService[label];
+            most.cpuMilli = std::max(most.cpuMilli, free.cpuMilli);
+            most.memoryMb = std::max(most.memoryMb, free.memoryMb);
+            most.accelerators = std::max(most.accelerators, free.accelerators);
+        };
+        raise({});
+        std::for_each(worker->info.labels.begin(), worker->info.labels.end(), raise);
+    }
+    return out;
+}
+
+// The steps that wait for advice and whose turn comes first, in order. Those for which no worker has room are
+// left out: there may be any number of them, and none needs a call.
+cell_model::advice_search cell_model::searchStepsForAdvice() const
 {
     struct turn {
         ms at = 0;
@@ -90,21 +115,37 @@
         step_run* step = nullptr;
         auto key() const { return std::pair(at, position); }
     };
+    auto room = mostFree();
+    auto hasRoom = [this, &room](const step_spec& spec, const queue_policy& policy) {
+        auto ofService = room.find(policy.service);
+        if (ofService == room.end())
+            return false;
+        auto most = ofService->second.find(spec.requiredLabel);
+        return most != ofService->second.end() && reservationOf(spec).fits(most->second);
+    };
     std::vector<turn> turns;
+    size_t waiting = 0;
     for (const auto& [dispatchKey, step] : readySteps) {
         const queue_policy* policy = policyOf(*step->job);
-        if (!policy || !policy->requiresAdvice || now < step->nextAdviceAt || !firstStartableTask(*step))
+        if (!policy || !policy->requiresAdvice || !hasRoom(*step->spec, *policy))
+            continue;
+        waiting++;
+        if (now < step->nextAdviceAt || !firstStartableTask(*step))
             continue;
         const task_run& longest = step->tasks[static_cast<size_t>(step->waiting.front())];
         ms waitsSince = std::max(longest.waitingSince, step->advisedAt);
         turns.push_back({ waitsSince + policy->priority * priorityLevelMs, turns.size(), step });
     }
-    size_t count = std::min(turns.size(), maxStepsPerSearch);
+    size_t atOnce = std::max(minStepsPerSearch, maxLooksPerSearch / std::max<size_t>(1, workers.size()));
+    size_t count = std::min(turns.size(), atOnce);
     std::partial_sort(turns.begin(), turns.begin() + static_cast<std::ptrdiff_t>(count), turns.end(),
         [](const turn& a, const turn& b) { return a.key() < b.key(); });
-    std::vector<step_run*> out;
+    advice_search out;
     for (size_t i = 0; i < count; i++)
-        out.push_back(turns[i].step);
+        out.steps.push_back(turns[i].step);
+    // All steps are looked at before one without a candidate is looked at again.
+    auto searches = static_cast<ms>(waiting / atOnce) + 1;
+    out.retryMs = std::max(noCandidateRetryMs, 2 * searches * placingInterval());
     return out;
 }
 
@@ -113,8 +154,9 @@
 {
     if (!advice.inUse || advice.call || now < advice.notBefore)
         return;
-    for (step_run* step : nextStepsForAdvice()) {
-        askAbout(*step, *policyOf(*step->job));
+    advice_search search = searchStepsForAdvice();
+    for (step_run* step : search.steps) {
+        askAbout(*step, *policyOf(*step->job), search.retryMs);
         if (advice.call)
             return;
     }
@@ -207,8 +249,8 @@
 }
 
 // Asks about workers on which a task of the step could be placed, unless those with tickets have room for all
-// tasks that wait.
-void cell_model::askAbout(step_run& step, const queue_policy& policy)
+// tasks that wait. Without such workers, the step is looked at again after `retryMs`.
+void cell_model::askAbout(step_run& step, const queue_policy& policy, ms retryMs)
 {
     const task_run& task = step.tasks[static_cast<size_t>(*firstStartableTask(step))];
     if (countPlacesWithTickets(step, task, policy) >= step.waiting.size()) {
@@ -219,7 +261,7 @@
     auto limit = static_cast<size_t>(std::max(1, maxWorkers >> advice.backoff));
     std::vector<advice_candidate> candidates = adviceCandidates(step, task, policy, limit);
     if (candidates.empty()) {
-        step.nextAdviceAt = now + noCandidateRetryMs;
+        step.nextAdviceAt = now + retryMs;
         return;
     }
     candidates.resize(countWorthAsking(candidates, step, task, policy));
--- a/src/jobs/process/cell_model.h
+++ b/src/jobs/process/cell_model.h
@@ -571,6 +571,7 @@
     void sendStop(step_run&, int index, task_attempt&);
 
     // cell_placing.cpp
+    ms placingInterval() const;
     void placeWaiting();
     bool placeStep(step_run&);
     bool mustNotStayIdle(const step_run&) const;
@@ -608,7 +609,12 @@
     double permittedShare(const std::string& queue) const;
     double placesOn(const step_run&, const task_run&, const worker_state&) const;
     size_t countPlacesWithTickets(const step_run&, const task_run&, const queue_policy&) const;
-    std::vector<step_run*> nextStepsForAdvice() const;
+    struct advice_search {
+        std::vector<step_run*> steps;
+        ms retryMs = 0; // Time after which a step without a worker to ask about is looked at again.
+    };
+    std::map<std::string, std::map<std::string, resources>> mostFree() const;
+    advice_search searchStepsForAdvice() const;
     void requestAdvice();
     enum class candidate_rank : uint8_t;
     struct advice_candidate;
@@ -616,7 +622,7 @@
         const step_run&, const task_run&, const queue_policy&, size_t limit) const;
     size_t countWorthAsking(
         const std::vector<advice_candidate>&, const step_run&, const task_run&, const queue_policy&) const;
-    void askAbout(step_run&, const queue_policy&);
+    void askAbout(step_run&, const queue_policy&, ms retryMs);
     ms allowedAdviceMs() const;
     void applyAdvicePolicies();
     void reviewAdviceCall();
--- a/src/jobs/process/cell_placing.cpp
+++ b/src/jobs/process/cell_placing.cpp
@@ -516,10 +516,15 @@
         || (policy && policy->requiresAdvice);
 }
 
+// Time between two placement passes.
+ms cell_model::placingInterval() const
+{
+    return std::max<ms>(placingIntervalMs, static_cast<ms>(workers.size()) / workersPerMs);
+}
+
 void cell_model::placeWaiting()
 {
-    ms interval = std::max<ms>(placingIntervalMs, static_cast<ms>(workers.size()) / workersPerMs);
-    if (!begun || !mayStartTasks() || now - lastPlacedAt < interval)
+    if (!begun || !mayStartTasks() || now - lastPlacedAt < placingInterval())
         return;
     lastPlacedAt = now;
     placingNeeded = false;
--- a/tests/jobs/advice_test.cpp
+++ b/tests/jobs/advice_test.cpp
@@ -561,3 +561,26 @@
     BOOST_REQUIRE(cell.calls.size() == 1);
     BOOST_TEST(cell.calls[0].workers[0] == "w7");
 }
+
+// Regression: jobs that no worker can take came first in each search for the next step, and the search ended
+// before the others.
+BOOST_AUTO_TEST_CASE(steps_that_no_worker_can_take_do_not_keep_others_from_their_turn)
+{
+    constexpr int hopelessJobs = 300;
+    for (int workers : { 36, 400, 3'500 }) {
+        advised_cell cell(longValidityMs);
+        cell.addWorkers("w", workers, 8000);
+        cell.scheduler.begin(cell.now, cell.now);
+        for (int i = 0; i < hopelessJobs; i++) {
+            job_record job = singleStepJob(1);
+            if (i % 2)
+                job.spec.steps[0].requiredLabel = "none" + std::to_string(i);
+            else
+                job.spec.steps[0].cpuMilli = 9'000 + i;
+            cell.scheduler.addJob("a" + std::to_string(i), job);
+        }
+        cell.run(1'000);
+        cell.addJobs(2, singleStepJob(1));
+        BOOST_TEST(cell.runUntilStarted(2, longestWaitMs), workers << " workers");
+    }
+}
--- a/tests/jobs/world.cpp
+++ b/tests/jobs/world.cpp
@@ -793,7 +793,8 @@
                 if (!running && fits)
                     reportViolation("service task does not run: " + id + " " + std::to_string(index));
             }
-        } else if (*state != job_state::completed && *state != job_state::failed) {
+        } else if (*state != job_state::completed && *state != job_state::failed
+            && !m_hopeless.contains(id)) {
             reportViolation("job not finished: " + id + " is " + std::string(toString(*state)));
         }
     }
--- a/tests/jobs/world.h
+++ b/tests/jobs/world.h
@@ -288,6 +288,7 @@
         ms slowness = 1; // Factor until `slowUntil`.
     };
     void startAdvice();
+    void submitHopelessJobs();
     void drawAdviceTerms(queue_policy&);
     void disturbAdvice();
     void changeAdviceTerms();
@@ -344,6 +345,7 @@
     std::vector<leader_ptr> m_leaders;
     std::shared_ptr<queue_table> m_queues;
     advice_service m_advice;
+    std::set<job_id> m_hopeless; // Jobs that can never be placed.
     std::map<task_ref, ms> m_adviceDueSince; // As m_dueSince, for tasks that need advice.
     std::vector<std::string> m_violations;
     std::set<std::string> m_reported; // The texts in `m_violations`.
--- a/tests/jobs/world_advice.cpp
+++ b/tests/jobs/world_advice.cpp
@@ -2,6 +2,8 @@
 // silent or is slower than configured. The settings of the queues that need it change, for the service and
 // for the leaders at different times.
 //
+// In some worlds many jobs of such a queue can never be placed.
+//
 // A step runs only with a valid ticket. While a task of such a queue waits beside capacity that it may use,
 // the service is not left idle.
 #include "tests/jobs/world.h"
@@ -20,6 +22,8 @@
     constexpr ms longestCallMs = 2500;
     constexpr ms longestCallWithBacklogsMs = 1000;
     constexpr ms longestConfigurationLagMs = 3000;
+    constexpr int hopelessJobs = 250;
+    constexpr double hopelessShare = 0.2; // Of the worlds.
     constexpr size_t labels = 2;
     constexpr size_t maxRefusedOfLabel = 2;
 } // namespace
@@ -51,11 +55,38 @@
     }
     m_queues = table;
     m_advice.terms = *table;
+    if (chance(hopelessShare))
+        submitHopelessJobs();
     for (ms at = randomInt(3000, 10'000); at < m_settings.faultPhase; at += randomInt(1000, 10'000))
         runAfter(at, [this] { disturbAdvice(); });
     checkAdvice();
 }
 
+// Jobs that no worker of the world can take.
+void world::submitHopelessJobs()
+{
+    for (int i = 0; i < hopelessJobs; i++) {
+        runAfter(randomInt(0, 5000), [this] {
+            job_id id = "hopeless" + std::to_string(m_jobs.size());
+            job_record& record = m_jobs[id].record;
+            record.queue = batchQueue;
+            record.acceptedUnixMs = unixOriginMs + m_now;
+            record.spec.payload = "payload";
+            step_spec step;
+            step.memoryMb = 256;
+            step.cpuMilli = 1000;
+            step.estimateMs = 1000;
+            if (chance(0.5))
+                step.requiredLabel = "none" + std::to_string(randomInt(1, hopelessJobs));
+            else
+                step.cpuMilli = 8000 + randomInt(1, 4000);
+            record.spec.steps.push_back(step);
+            m_hopeless.insert(id);
+            sendSubmission(id);
+        });
+    }
+}
+
 void world::disturbAdvice()
 {
     ms duration = randomInt(500, 8000);
