Cell: no calls for advice about steps that could not be placed anyway

What callers saw: best-effort tasks without processors left for them, and gangs whose members did not all fit, had call after call to the advice service. All other steps waited meanwhile, 2.3 s a call with a DecideMs of 2,300.

Cause: the candidates of a call were workers with room by the reservation. Placement also wants processors for a best-effort task, and places all members of a gang together.

Change: a call is made only while a task of the step could be placed on a candidate, or all members of the gang on workers that may be permitted; workers that could take a task now come first.

Evidence: the three new tests pass. Before, two fail, and gangs_that_do_not_fit... did not end in nine minutes.

--- a/src/jobs/process/cell_advice.cpp
+++ b/src/jobs/process/cell_advice.cpp
@@ -166,21 +166,25 @@
 enum class cell_model::candidate_rank : uint8_t { permitted, unknown, refused };
 
 struct cell_model::advice_candidate {
+    bool isFull = false; // It has capacity, but no processors left for a best-effort task.
     candidate_rank rank = candidate_rank::unknown;
     ms answeredAt = 0;
     int64_t negativeFreeCpu = 0; // The most free capacity comes first.
     const worker_state* worker = nullptr;
-    auto key() const { return std::tie(rank, answeredAt, negativeFreeCpu, worker->info.id); }
+    double places = 0;
+    auto key() const { return std::tie(isFull, rank, answeredAt, negativeFreeCpu, worker->info.id); }
 };
 
-// Number of tasks of the step that the worker should take, capacity and limits considered.
-double cell_model::placesOn(const step_run& step, const task_run& task, const worker_state& worker) const
+// Number of tasks of the step that the worker could take now, capacity and limits considered. `isIdle`: see
+// mustNotStayIdle().
+double cell_model::placesOn(
+    const step_run& step, const task_run& task, const worker_state& worker, bool isIdle) const
 {
     const step_spec& spec = *step.spec;
     resources need = reservationOf(spec);
     resources free = worker.freeCapacity();
     if (spec.isBestEffort && !bestEffortFits(worker, step, now - task.waitingSince))
-        return 0;
+        return isIdle && !spec.gang && !overTargetFromBestEffort(worker) ? 1 : 0;
     auto places = static_cast<double>(step.waiting.size());
     auto limitBy = [&](int64_t available, int64_t needed) {
         if (needed > 0)
@@ -190,29 +194,39 @@
     limitBy(free.memoryMb, need.memoryMb);
     limitBy(free.accelerators, need.accelerators);
     limitBy(spec.maxPerWorker, spec.maxPerWorker > 0 ? 1 : 0);
-    return spec.isService ? std::min(places, std::ceil(serviceMaxShare * spec.count)) : places;
+    return places;
 }
 
-// The first `limit` workers to ask about, in order. All members of a gang are placed at once, so its tickets
-// must not expire before the answer.
+// The first `limit` workers to ask about, in order; none while no task of the step could be placed on them.
+// All members of a gang are placed at once, so its tickets must not expire before the answer.
 std::vector<cell_model::advice_candidate> cell_model::adviceCandidates(
     const step_run& step, const task_run& task, const queue_policy& policy, size_t limit) const
 {
     ms neededUntil = step.spec->gang ? now + policy.adviceCallMs(limit) : now;
     resources need = reservationOf(*step.spec);
+    bool isIdle = mustNotStayIdle(step);
+    double places = 0; // On workers that may be permitted.
+    double newPlaces = 0; // On candidates.
     std::vector<advice_candidate> out;
     for (const worker_state* worker : workers.all()) {
         const advice_answer* valid = validAdvice(step, *worker);
-        bool known = valid && (!valid->permitted || valid->validUntil > neededUntil);
-        if (known || !usableFor(*worker, step, task) || !need.fits(worker->freeCapacity())
-            || !mayRunOn(step, policy, *worker, 0))
+        if ((valid && !valid->permitted) || !usableFor(*worker, step, task)
+            || !need.fits(worker->freeCapacity()) || !mayRunOn(step, policy, *worker, 0))
             continue;
+        double onWorker = placesOn(step, task, *worker, isIdle);
+        places += onWorker;
+        if (valid && valid->validUntil > neededUntil)
+            continue;
+        newPlaces += onWorker;
         const advice_answer* last = lastAdvice(step, *worker);
         candidate_rank rank = candidate_rank::unknown;
         if (last)
             rank = last->permitted ? candidate_rank::permitted : candidate_rank::refused;
-        out.push_back({ rank, last ? last->answeredAt : 0, -worker->freeCapacity().cpuMilli, worker });
+        out.push_back({ onWorker == 0, rank, last ? last->answeredAt : 0, -worker->freeCapacity().cpuMilli,
+            worker, onWorker });
     }
+    if (newPlaces == 0 || (step.spec->gang && places < static_cast<double>(step.waiting.size())))
+        return {};
     auto end = out.begin() + static_cast<std::ptrdiff_t>(std::min(out.size(), limit));
     std::partial_sort(out.begin(), end, out.end(),
         [](const advice_candidate& a, const advice_candidate& b) { return a.key() < b.key(); });
@@ -221,8 +235,8 @@
 }
 
 // Number of the candidates that a call should be about.
-size_t cell_model::countWorthAsking(const std::vector<advice_candidate>& candidates, const step_run& step,
-    const task_run& task, const queue_policy& policy) const
+size_t cell_model::countWorthAsking(
+    const std::vector<advice_candidate>& candidates, const step_run& step, const queue_policy& policy) const
 {
     size_t cheapCount = candidates.size();
     if (policy.advicePerWorkerMs > 0)
@@ -230,6 +244,8 @@
     cheapCount = std::max<size_t>(1, cheapCount);
     double placesNeeded = placesPerTask * static_cast<double>(step.waiting.size());
     double usualChance = permittedShare(policy.name);
+    const step_spec& spec = *step.spec;
+    double mostOnWorker = spec.isService ? std::ceil(serviceMaxShare * spec.count) : placesNeeded;
     double places = 0;
     double permitted = 0;
     size_t count = 0;
@@ -242,7 +258,7 @@
         if (each.rank == candidate_rank::permitted)
             chance = 1;
         permitted += chance;
-        places += chance * placesOn(step, task, *each.worker);
+        places += chance * std::min(each.places, mostOnWorker);
         count++;
     }
     return count;
@@ -264,7 +280,7 @@
         step.nextAdviceAt = now + retryMs;
         return;
     }
-    candidates.resize(countWorthAsking(candidates, step, task, policy));
+    candidates.resize(countWorthAsking(candidates, step, policy));
     advice_call call { { step.ref(0), {}, ++advice.lastCall }, {}, policy.name, now };
     for (const advice_candidate& each : candidates) {
         call.request.workers.push_back(each.worker->info.id);
--- a/src/jobs/process/cell_model.h
+++ b/src/jobs/process/cell_model.h
@@ -607,7 +607,7 @@
     static const advice_answer* lastAdvice(const step_run&, const worker_state&);
     const advice_answer* validAdvice(const step_run&, const worker_state&) const;
     double permittedShare(const std::string& queue) const;
-    double placesOn(const step_run&, const task_run&, const worker_state&) const;
+    double placesOn(const step_run&, const task_run&, const worker_state&, bool isIdle) const;
     size_t countPlacesWithTickets(const step_run&, const task_run&, const queue_policy&) const;
     struct advice_search {
         std::vector<step_run*> steps;
@@ -620,8 +620,7 @@
     struct advice_candidate;
     std::vector<advice_candidate> adviceCandidates(
         const step_run&, const task_run&, const queue_policy&, size_t limit) const;
-    size_t countWorthAsking(
-        const std::vector<advice_candidate>&, const step_run&, const task_run&, const queue_policy&) const;
+    size_t countWorthAsking(const std::vector<advice_candidate>&, const step_run&, const queue_policy&) const;
     void askAbout(step_run&, const queue_policy&, ms retryMs);
     ms allowedAdviceMs() const;
     void applyAdvicePolicies();
--- a/tests/jobs/advice_test.cpp
+++ b/tests/jobs/advice_test.cpp
@@ -584,3 +584,63 @@
         BOOST_TEST(cell.runUntilStarted(2, longestWaitMs), workers << " workers");
     }
 }
+
+// The same with steps whose workers have room for one member each.
+BOOST_AUTO_TEST_CASE(gangs_that_do_not_fit_do_not_keep_others_from_their_turn)
+{
+    constexpr int workers = 3'500;
+    constexpr int gangs = 24;
+    constexpr ms longestSearchMs = 10'000;
+    advised_cell cell(longValidityMs);
+    cell.gangs = true;
+    cell.addWorkers("w", workers, 8000);
+    cell.scheduler.begin(cell.now, cell.now);
+    for (int i = 0; i < gangs; i++) {
+        job_record gang = singleStepJob(workers + 1);
+        gang.spec.steps[0].gang = true;
+        gang.spec.steps[0].maxPerWorker = 1;
+        cell.scheduler.addJob("a" + std::to_string(i), gang);
+    }
+    cell.run(1'000);
+    cell.addJobs(2, singleStepJob(1));
+    BOOST_TEST(cell.runUntilStarted(2, longestSearchMs));
+}
+
+// Regression: such a step had its turn again and again, while others waited for theirs.
+BOOST_AUTO_TEST_CASE(advice_is_not_asked_for_best_effort_tasks_while_no_processors_are_left)
+{
+    advised_cell cell(300, 2'300, 0);
+    cell.addWorkers("w", 4, 1'000);
+    cell.scheduler.begin(cell.now, cell.now);
+    cell.addJobs(1, singleStepJob(4));
+    BOOST_REQUIRE(cell.runUntilStarted(4, longestWaitMs));
+    cell.calls.clear();
+    cell.scheduler.addJob("best-effort", bestEffortJob());
+    cell.run(10'000);
+    BOOST_TEST(cell.calls.empty());
+    const start_action& ended = cell.starts[0];
+    cell.reports[ended.worker].running.clear();
+    cell.reports[ended.worker].completions = { { 1, ended.task, ended.attempt, completion_kind::done, "" } };
+    BOOST_TEST(cell.runUntilStarted(5, longestWaitMs));
+}
+
+// Regression: a gang that does not fit asked about all workers, again and again.
+BOOST_AUTO_TEST_CASE(advice_is_not_asked_for_a_gang_while_its_members_do_not_fit)
+{
+    advised_cell cell(300, 500, 20);
+    cell.gangs = true;
+    cell.addWorkers("w", 4, 1'000);
+    cell.scheduler.begin(cell.now, cell.now);
+    cell.addJobs(1, singleStepJob(1));
+    BOOST_REQUIRE(cell.runUntilStarted(1, longestWaitMs));
+    cell.calls.clear();
+    job_record gang = singleStepJob(4);
+    gang.spec.steps[0].gang = true;
+    cell.scheduler.addJob("gang", gang);
+    cell.run(10'000);
+    BOOST_TEST(cell.calls.empty());
+    const start_action& ended = cell.starts[0];
+    cell.reports[ended.worker].running.clear();
+    cell.reports[ended.worker].completions = { { 1, ended.task, ended.attempt, completion_kind::done, "" } };
+    BOOST_TEST(cell.runUntilStarted(5, longestWaitMs));
+}
