Tests of advice: what stood twice stands once

The worlds had two functions for a step that fits twice on a worker, and two loops that follow since when a task is due; advice_test repeated its setup.

--- a/tests/jobs/advice_test.cpp
+++ b/tests/jobs/advice_test.cpp
@@ -114,6 +114,18 @@
             addWorker(record);
         }
     }
+    void beginWithWorkers(int count)
+    {
+        addWorkers("w", count, 8000);
+        scheduler.begin(now, now);
+    }
+    // The first task that was started is done.
+    void completeFirst()
+    {
+        const start_action& first = starts[0];
+        reports[first.worker].running.clear();
+        reports[first.worker].completions = { { 1, first.task, first.attempt, completion_kind::done, "" } };
+    }
     void run(ms length)
     {
         for (ms end = now + length; now < end;)
@@ -239,8 +251,7 @@
 BOOST_AUTO_TEST_CASE(advice_leaves_out_workers_at_the_limit_of_the_steps_tasks)
 {
     advised_cell cell(longValidityMs);
-    cell.addWorkers("w", 2 * workersPerCall, 8000);
-    cell.scheduler.begin(cell.now, cell.now);
+    cell.beginWithWorkers(2 * workersPerCall);
     job_record job = singleStepJob(2 * workersPerCall);
     job.spec.steps[0].maxPerWorker = 1;
     cell.scheduler.addJob("j", job);
@@ -274,8 +285,7 @@
 BOOST_AUTO_TEST_CASE(ticket_of_a_workers_earlier_life_is_not_used)
 {
     advised_cell cell(longValidityMs);
-    cell.addWorkers("w", 1, 8000);
-    cell.scheduler.begin(cell.now, cell.now);
+    cell.beginWithWorkers(1);
     job_record job = singleStepJob(1);
     job.spec.steps[0].isService = true;
     cell.scheduler.addJob("j", job);
@@ -317,8 +327,7 @@
             for (ms validMs : { 300, 60'000 }) {
                 for (int jobs : { 1, 12 }) {
                     advised_cell cell(validMs, decideMs, perWorkerMs);
-                    cell.addWorkers("w", 36, 8000);
-                    cell.scheduler.begin(cell.now, cell.now);
+                    cell.beginWithWorkers(36);
                     cell.addJobs(jobs, singleStepJob(tasks));
                     ms callMs = cell.terms.adviceCallMs(workersPerCall);
                     bool started = cell.runUntilStarted(
@@ -343,8 +352,7 @@
         advised_cell cell(3'000, decideMs, perWorkerMs);
         cell.service->terms.adviceDecideMs *= slowness;
         cell.service->terms.advicePerWorkerMs *= slowness;
-        cell.addWorkers("w", 36, 8000);
-        cell.scheduler.begin(cell.now, cell.now);
+        cell.beginWithWorkers(36);
         cell.addJobs(2, singleStepJob(1));
         BOOST_TEST(cell.runUntilStarted(2, 6 * cell.service->terms.adviceCallMs(workersPerCall)));
     }
@@ -356,8 +364,7 @@
     advised_cell cell(3'000, 500, 60);
     cell.service->terms.adviceDecideMs = 2'500;
     cell.service->terms.advicePerWorkerMs = 200;
-    cell.addWorkers("w", 36, 8000);
-    cell.scheduler.begin(cell.now, cell.now);
+    cell.beginWithWorkers(36);
     cell.addJobs(jobs, singleStepJob(4));
     BOOST_TEST(cell.runUntilStarted(4 * jobs, jobs * 5'000 + 20'000));
     BOOST_TEST(cell.abandonedCalls <= 3);
@@ -366,8 +373,7 @@
 BOOST_AUTO_TEST_CASE(advice_call_is_awaited_when_its_time_is_raised_while_it_waits)
 {
     advised_cell cell(3'000, 100, 0);
-    cell.addWorkers("w", 36, 8000);
-    cell.scheduler.begin(cell.now, cell.now);
+    cell.beginWithWorkers(36);
     cell.addJobs(1, singleStepJob(1));
     cell.service->terms.adviceDecideMs = 8'000;
     cell.run(1'000);
@@ -381,8 +387,7 @@
 BOOST_AUTO_TEST_CASE(advice_calls_follow_settings_that_change)
 {
     advised_cell cell(3'000, 500, 20);
-    cell.addWorkers("w", 36, 8000);
-    cell.scheduler.begin(cell.now, cell.now);
+    cell.beginWithWorkers(36);
     constexpr int jobs = 20;
     constexpr ms longestCallMs = 2'000 + 160 * workersPerCall;
     for (int i = 0; i < jobs; i++) {
@@ -399,8 +404,7 @@
 BOOST_AUTO_TEST_CASE(advice_is_not_asked_for_steps_of_cancelled_jobs)
 {
     advised_cell cell(3'000, 2'000, 0);
-    cell.addWorkers("w", 36, 8000);
-    cell.scheduler.begin(cell.now, cell.now);
+    cell.beginWithWorkers(36);
     cell.addJobs(20, singleStepJob(1));
     cell.run(500);
     for (int i = 0; i < 19; i++)
@@ -414,8 +418,7 @@
 BOOST_AUTO_TEST_CASE(advice_call_without_an_answer_is_repeated)
 {
     advised_cell cell(3'000, 100, 0);
-    cell.addWorkers("w", 36, 8000);
-    cell.scheduler.begin(cell.now, cell.now);
+    cell.beginWithWorkers(36);
     cell.addJobs(3, singleStepJob(1));
     cell.service->silent = true;
     cell.run(20'000);
@@ -427,8 +430,7 @@
 BOOST_AUTO_TEST_CASE(advice_call_that_fails_is_repeated_for_each_step)
 {
     advised_cell cell(3'000, 100, 0);
-    cell.addWorkers("w", 36, 8000);
-    cell.scheduler.begin(cell.now, cell.now);
+    cell.beginWithWorkers(36);
     cell.addJobs(3, singleStepJob(1));
     for (int i = 0; i < 200; i++) {
         cell.runOnce();
@@ -449,8 +451,7 @@
 BOOST_AUTO_TEST_CASE(first_advice_call_waits_for_one_of_an_earlier_leader_on_the_machine)
 {
     advised_cell earlier(3'000, 2'000, 20);
-    earlier.addWorkers("w", 36, 8000);
-    earlier.scheduler.begin(earlier.now, earlier.now);
+    earlier.beginWithWorkers(36);
     earlier.addJobs(1, singleStepJob(1));
     earlier.run(200);
     BOOST_REQUIRE(earlier.callUnderWay);
@@ -458,8 +459,7 @@
     advised_cell cell(3'000, 2'000, 20);
     cell.now = earlier.now;
     cell.service = earlier.service;
-    cell.addWorkers("w", 36, 8000);
-    cell.scheduler.begin(cell.now, cell.now);
+    cell.beginWithWorkers(36);
     cell.addJobs(1, singleStepJob(1));
     BOOST_TEST(cell.runUntilStarted(1, 2 * cell.terms.adviceCallMs(workersPerCall) + 200));
     BOOST_TEST(cell.abandonedCalls == 0);
@@ -468,8 +468,7 @@
 BOOST_AUTO_TEST_CASE(step_that_finds_no_worker_leaves_others_their_turn)
 {
     advised_cell cell(3'000, 500, 20);
-    cell.addWorkers("w", 60, 8000);
-    cell.scheduler.begin(cell.now, cell.now);
+    cell.beginWithWorkers(60);
     cell.service->permits = [](const worker_id&) { return false; };
     cell.addJobs(2, singleStepJob(1));
     cell.run(8'000);
@@ -487,8 +486,7 @@
     table->at("urgent").name = "urgent";
     table->at("urgent").priority = 0;
     cell.scheduler.setQueues(table);
-    cell.addWorkers("w", 36, 8000);
-    cell.scheduler.begin(cell.now, cell.now);
+    cell.beginWithWorkers(36);
     cell.addJobs(10, singleStepJob(1));
     cell.run(1'500);
     job_record urgent = singleStepJob(1);
@@ -502,8 +500,7 @@
 BOOST_AUTO_TEST_CASE(answer_about_a_worker_that_starts_again_meanwhile_is_not_used)
 {
     advised_cell cell(longValidityMs, 1'000, 0);
-    cell.addWorkers("w", 1, 8000);
-    cell.scheduler.begin(cell.now, cell.now);
+    cell.beginWithWorkers(1);
     cell.addJobs(1, singleStepJob(1));
     cell.run(500);
     BOOST_REQUIRE(cell.callUnderWay);
@@ -536,8 +533,7 @@
 {
     constexpr int jobs = 12;
     advised_cell cell(3'000, 500, 300);
-    cell.addWorkers("w", 36, 8000);
-    cell.scheduler.begin(cell.now, cell.now);
+    cell.beginWithWorkers(36);
     cell.addJobs(jobs, singleStepJob(4));
     BOOST_TEST(cell.runUntilStarted(4 * jobs, jobs * cell.terms.adviceCallMs(workersPerCall) / 3));
 }
@@ -569,8 +565,7 @@
     constexpr int hopelessJobs = 300;
     for (int workers : { 36, 400, 3'500 }) {
         advised_cell cell(longValidityMs);
-        cell.addWorkers("w", workers, 8000);
-        cell.scheduler.begin(cell.now, cell.now);
+        cell.beginWithWorkers(workers);
         for (int i = 0; i < hopelessJobs; i++) {
             job_record job = singleStepJob(1);
             if (i % 2)
@@ -593,8 +588,7 @@
     constexpr ms longestSearchMs = 10'000;
     advised_cell cell(longValidityMs);
     cell.gangs = true;
-    cell.addWorkers("w", workers, 8000);
-    cell.scheduler.begin(cell.now, cell.now);
+    cell.beginWithWorkers(workers);
     for (int i = 0; i < gangs; i++) {
         job_record gang = singleStepJob(workers + 1);
         gang.spec.steps[0].gang = true;
@@ -618,9 +612,7 @@
     cell.scheduler.addJob("best-effort", bestEffortJob());
     cell.run(10'000);
     BOOST_TEST(cell.calls.empty());
-    const start_action& ended = cell.starts[0];
-    cell.reports[ended.worker].running.clear();
-    cell.reports[ended.worker].completions = { { 1, ended.task, ended.attempt, completion_kind::done, "" } };
+    cell.completeFirst();
     BOOST_TEST(cell.runUntilStarted(5, longestWaitMs));
 }
 
@@ -639,8 +631,6 @@
     cell.scheduler.addJob("gang", gang);
     cell.run(10'000);
     BOOST_TEST(cell.calls.empty());
-    const start_action& ended = cell.starts[0];
-    cell.reports[ended.worker].running.clear();
-    cell.reports[ended.worker].completions = { { 1, ended.task, ended.attempt, completion_kind::done, "" } };
+    cell.completeFirst();
     BOOST_TEST(cell.runUntilStarted(5, longestWaitMs));
 }
--- a/tests/jobs/world.h
+++ b/tests/jobs/world.h
@@ -250,8 +250,10 @@
     void checkWaits();
     // Tasks whose turn has come and that do not run.
     std::vector<task_ref> tasksDue() const;
+    std::map<task_ref, ms> dueSince(
+        const std::vector<task_ref>& due, const std::map<task_ref, ms>& last) const;
     void addTasksDue(const job_id&, int step, std::vector<task_ref>& out) const;
-    bool fitsTwice(const step_spec&) const;
+    bool fitsTwice(const task_ref&) const;
     bool isLightlyReserved() const;
     void checkFinalState();
     void checkNothingRanAfterItsEnd();
@@ -299,7 +301,6 @@
     void abandonAdvice(const leader_ptr&, const abandon_advice_action&);
     void beginAdvice(size_t machine);
     void finishAdvice(size_t machine, const std::shared_ptr<advice_service::call>&);
-    bool fitsTwiceWithAdvice(const task_ref&) const;
     void checkAdvice();
     void reportViolation(std::string);
     const step_spec* stepOf(const task_ref&) const;
--- a/tests/jobs/world_advice.cpp
+++ b/tests/jobs/world_advice.cpp
@@ -131,7 +131,7 @@
 bool world::mayRunOn(const task_ref& task, const worker_id& id) const
 {
     const step_spec& step = *stepOf(task);
-    if (step.maxPerWorker > 0 || step.gang)
+    if (!needsAdvice(task) || step.maxPerWorker > 0 || step.gang)
         return true;
     size_t seed = std::hash<std::string>()(task.job) + static_cast<size_t>(task.step);
     size_t refused = step.requiredLabel.empty() ? seed % (maxRefusedOfLabel + 1) : seed % 2;
@@ -142,7 +142,7 @@
 
 bool world::mayStart(const start_action& order, const model_worker& worker) const
 {
-    if (!m_queues->at(m_jobs.at(order.task.job).record.queue).requiresAdvice)
+    if (!needsAdvice(order.task))
         return true;
     auto found = m_advice.tickets.find(order.ticket);
     if (found == m_advice.tickets.end())
@@ -236,23 +236,6 @@
     });
 }
 
-// Whether a worker that may run the step has room for two of its tasks.
-bool world::fitsTwiceWithAdvice(const task_ref& task) const
-{
-    const step_spec& step = *stepOf(task);
-    resources need { 2 * step.cpuMilli, 2 * step.memoryMb, 0, 0 };
-    return std::any_of(m_workers.begin(), m_workers.end(), [&](const auto& entry) {
-        const model_worker& worker = *entry.second;
-        resources free = worker.record.capacity - worker.used();
-        free.cpuMilli -= worker.bestEffortCpu();
-        const auto& labelsOf = worker.record.labels;
-        bool labelled = step.requiredLabel.empty()
-            || std::find(labelsOf.begin(), labelsOf.end(), step.requiredLabel) != labelsOf.end();
-        return worker.up && worker.reachable && !worker.record.draining && labelled && need.fits(free)
-            && mayRunOn(task, entry.first);
-    });
-}
-
 void world::checkAdvice()
 {
     runAfter(checkIntervalMs, [this] { checkAdvice(); });
@@ -263,19 +246,16 @@
     }
     const auto& line = m_advice.lines[leader->owner->number];
     bool isIdle = !line.busy && line.waiting.empty();
-    std::map<task_ref, ms> dueSince;
-    for (const task_ref& task : tasksDue()) {
-        if (stepOf(task)->isBestEffort || !needsAdvice(task) || !fitsTwiceWithAdvice(task))
-            continue;
-        auto found = m_adviceDueSince.find(task);
-        ms since = found == m_adviceDueSince.end() ? m_now : found->second;
-        dueSince[task] = since;
+    std::vector<task_ref> due = tasksDue();
+    std::erase_if(
+        due, [this](const task_ref& task) { return stepOf(task)->isBestEffort || !needsAdvice(task); });
+    m_adviceDueSince = dueSince(due, m_adviceDueSince);
+    for (const auto& [task, since] : m_adviceDueSince) {
         m_counts.longestAdviceWaitMs = std::max(m_counts.longestAdviceWaitMs, m_now - since);
         if (isIdle && m_now - std::max(since, line.idleSince) > longestIdleMs)
             reportViolation("task waits beside an idle advice service: " + task.str() + " since "
                 + std::to_string(since));
     }
-    m_adviceDueSince = std::move(dueSince);
 }
 
 bool world::needsAdvice(const task_ref& task) const
--- a/tests/jobs/world_sharing.cpp
+++ b/tests/jobs/world_sharing.cpp
@@ -180,10 +180,11 @@
     return static_cast<double>(reserved) < maxReservedShare * static_cast<double>(capacity);
 }
 
-// Whether a worker has memory and processors for two tasks of the step; best-effort tasks on it count at full
-// size.
-bool world::fitsTwice(const step_spec& step) const
+// Whether a worker that may run the task's step has memory and processors for two of its tasks; best-effort
+// tasks on it count at full size.
+bool world::fitsTwice(const task_ref& task) const
 {
+    const step_spec& step = *stepOf(task);
     resources need { 2 * step.cpuMilli, 2 * step.memoryMb, 0, 0 };
     return std::any_of(m_workers.begin(), m_workers.end(), [&](const auto& entry) {
         const model_worker& worker = *entry.second;
@@ -192,7 +193,8 @@
         const auto& labels = worker.record.labels;
         bool labelled = step.requiredLabel.empty()
             || std::find(labels.begin(), labels.end(), step.requiredLabel) != labels.end();
-        return worker.up && worker.reachable && !worker.record.draining && labelled && need.fits(free);
+        return worker.up && worker.reachable && !worker.record.draining && labelled && need.fits(free)
+            && mayRunOn(task, entry.first);
     });
 }
 
@@ -224,13 +226,26 @@
             continue;
         for (size_t step = 0; step < spec.steps.size(); step++) {
             // The members of a gang and tasks with a limit for each worker need several workers.
-            if (!spec.steps[step].gang && spec.steps[step].maxPerWorker == 0 && fitsTwice(spec.steps[step]))
+            if (!spec.steps[step].gang && spec.steps[step].maxPerWorker == 0
+                && fitsTwice({ id, 0, static_cast<int>(step), 0 }))
                 addTasksDue(id, static_cast<int>(step), out);
         }
     }
     return out;
 }
 
+// Since when each of the tasks is due, by the result of the last check.
+std::map<task_ref, ms> world::dueSince(
+    const std::vector<task_ref>& due, const std::map<task_ref, ms>& last) const
+{
+    std::map<task_ref, ms> out;
+    for (const task_ref& task : due) {
+        auto found = last.find(task);
+        out[task] = found == last.end() ? m_now : found->second;
+    }
+    return out;
+}
+
 void world::checkWaits()
 {
     runAfter(checkIntervalMs, [this] { checkWaits(); });
@@ -239,19 +254,15 @@
         m_dueSince.clear();
         return;
     }
-    std::map<task_ref, ms> dueSince;
-    for (const task_ref& task : tasksDue()) {
-        if (needsAdvice(task))
-            continue;
-        auto found = m_dueSince.find(task);
-        ms since = found == m_dueSince.end() ? m_now : found->second;
-        dueSince[task] = since;
+    std::vector<task_ref> due = tasksDue();
+    std::erase_if(due, [this](const task_ref& task) { return needsAdvice(task); });
+    m_dueSince = dueSince(due, m_dueSince);
+    for (const auto& [task, since] : m_dueSince) {
         m_counts.longestWaitMs = std::max(m_counts.longestWaitMs, m_now - since);
         if (m_now - since > longestWaitMs)
             reportViolation(
                 "task waits beside idle processors: " + task.str() + " since " + std::to_string(since));
     }
-    m_dueSince = std::move(dueSince);
 }
 
 } // namespace camphorwell::testing
